--- /dev/null
+++ b/bayford/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m bayford`."""
+
+import sys
+
+from bayford.cli import main
+
+sys.exit(main())
--- /dev/null
+++ b/bayford/cli.py
@@ -0,0 +1,117 @@
+"""The command line."""
+
+import argparse
+import faulthandler
+import logging
+import os
+import random
+import sys
+import threading
+import time
+
+from bayford import __version__
+from bayford.config import Settings, SettingsError, load, split_address
+
+log = logging.getLogger("bayford")
+
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+STACK = 256 * 1024
+
+
+def _logging() -> str | None:
+    """Logs to stderr at LOG_LEVEL; a complaint if the level is unknown."""
+    word = os.environ.get("LOG_LEVEL", "info").lower()
+    logging.basicConfig(
+        stream=sys.stderr,
+        level=LEVELS.get(word, logging.INFO),
+        format="%(levelname).1s %(name)s: %(message)s",
+    )
+    return None if word in LEVELS else f"LOG_LEVEL {word!r} is not one of {', '.join(LEVELS)}; using info"
+
+
+def serve(settings: Settings) -> None:
+    """Run this controller until it is killed."""
+    # Imported here: `check-config` and `--help` need none of it.
+    from bayford.coordination.controller import Controller
+    from bayford.coordination.engine import Engine
+    from bayford.protocol import mesh
+    from bayford.protocol.cloud_api import CloudApi
+    from bayford.protocol.state_api import StateApi
+    from bayford.scheduling.policy import Policy
+    from bayford.storage.store import Unavailable, Unknown
+    from bayford.transport.client import Client
+    from bayford.transport.front import Front, Mesh
+    from bayford.transport.limit import Limit
+    from bayford.transport.server import Server
+
+    threading.stack_size(STACK)
+    incarnation = f"{random.SystemRandom().getrandbits(48):012x}"
+    log.info("%s %s starts, incarnation %s", settings.member, __version__, incarnation)
+    state = Client(*split_address(settings.outside.state))
+    cloud = Client(*split_address(settings.outside.cloud), most_idle=3)
+    rng = random.Random(incarnation)
+    engine = Engine(settings, Policy(), time.monotonic, time.time, rng)
+
+    def asker(endpoint: str):  # type: ignore[no-untyped-def]
+        client = Client(*split_address(endpoint), most_idle=2, connect_s=0.8)
+
+        def ask(timeout_s: float) -> mesh.Status | None:
+            try:
+                status, body = client.call("GET", mesh.STATUS_PATH, None, timeout_s)
+                return mesh.decode_status(body) if status == 200 else None
+            except (Unavailable, Unknown, ValueError):
+                return None
+
+        return ask
+
+    controller = Controller(
+        settings,
+        engine,
+        StateApi(state.call),
+        CloudApi(cloud.call),
+        incarnation,
+        {peer.member: asker(peer.endpoint) for peer in settings.seeds},
+    )
+    most = max(32, min(600, settings.facts.machine_limits.fd_limit // 2))
+    front = Server(*split_address(settings.front), Front(controller, Limit()).handle, most, "front")
+    peers = Server(*split_address(settings.mesh_addr), Mesh(controller).handle, 32, "mesh")
+    front.start()
+    peers.start()
+    controller.start()
+    while True:
+        time.sleep(3600)
+
+
+def parser() -> argparse.ArgumentParser:
+    """The command line's grammar."""
+    top = argparse.ArgumentParser(prog="bayford", description="A cluster scheduler for small sites.")
+    top.add_argument("--version", action="version", version=f"bayford {__version__}")
+    verbs = top.add_subparsers(dest="verb", required=True, metavar="VERB")
+    for verb, text in (
+        ("serve", "run this controller until it is killed"),
+        ("check-config", "read the settings, say what is wrong with them, and end"),
+    ):
+        sub = verbs.add_parser(verb, help=text, description=text)
+        sub.add_argument("--config", required=True, metavar="FILE", help="settings file (TOML)")
+    return top
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Entry point; exit status 2 for bad settings."""
+    args = parser().parse_args(argv)
+    complaint = _logging()
+    if complaint:
+        log.error("%s", complaint)
+    try:
+        settings = load(args.config)
+    except SettingsError as bad:
+        print(f"bayford: {args.config}: {bad}", file=sys.stderr)
+        return 2
+    if args.verb == "check-config":
+        print(
+            f"{args.config}: good; {len(settings.seeds) + 1} controllers, {len(settings.facts.teams)} teams"
+        )
+        return 0
+    faulthandler.enable()
+    serve(settings)
+    return 0
--- /dev/null
+++ b/bayford/config.py
@@ -0,0 +1,153 @@
+"""The settings file that the platform hands over, checked before anything starts."""
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+
+class SettingsError(Exception):
+    """A settings file that can't be used; the message names the field."""
+
+
+class Peer(msgspec.Struct, frozen=True):
+    """Another controller, as the settings name it."""
+
+    member: str
+    site: str
+    endpoint: str
+
+
+class Outside(msgspec.Struct, frozen=True):
+    """Addresses of the services that are not ours."""
+
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct, frozen=True):
+    """A team's guarantee and limit; 0 means none."""
+
+    name: str
+    cpus: float = 0.0
+    cpus_max: float = 0.0
+    gpus: float = 0.0
+    gpus_max: float = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True):
+    """One aim of the users, for a class of jobs."""
+
+    kind: str
+    job_class: str | None = msgspec.field(name="class", default=None)
+    within_s: float | None = None
+    share: float | None = None
+
+
+class Workers(msgspec.Struct, frozen=True):
+    """Times that the workers keep."""
+
+    report_s: float
+    lease_s: float
+    cancel_s: float
+
+
+class State(msgspec.Struct, frozen=True):
+    """Limits of the state service."""
+
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+
+
+class Cloud(msgspec.Struct, frozen=True):
+    """Limits of the cloud."""
+
+    rps: float
+    list_lag_s: float
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """What this controller's own machine gives."""
+
+    core_share: float = 1.0
+    mem_mb: float = 256.0
+    fd_limit: int = 1024
+
+
+class Facts(msgspec.Struct, frozen=True):
+    """The deployment: zones, teams, limits."""
+
+    zones: list[str]
+    teams: list[Team]
+    workers: Workers
+    state: State
+    cloud: Cloud
+    nodes: int = 1
+    time_bound_ms: float = 0.0
+    objectives: list[Objective] = []
+    machine_limits: Limits = Limits()
+
+
+class Settings(msgspec.Struct, frozen=True):
+    """A whole settings file. Unknown fields are ignored, so new ones may appear."""
+
+    member: str
+    site: str
+    front: str
+    mesh_addr: str
+    outside: Outside
+    facts: Facts
+    seeds: list[Peer] = []
+
+
+def split_address(address: str, field: str = "address") -> tuple[str, int]:
+    """`10.0.0.1:8080` as host and port, or a SettingsError that names the field."""
+    host, colon, port = address.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise SettingsError(f"`$.{field}`: {address!r} is not HOST:PORT")
+    return host, int(port)
+
+
+def parse(text: str) -> Settings:
+    """Read and check settings; every complaint names the field."""
+    try:
+        settings = msgspec.convert(tomllib.loads(text), Settings)
+    except tomllib.TOMLDecodeError as bad:
+        raise SettingsError(f"not TOML: {bad}") from bad
+    except msgspec.ValidationError as bad:
+        raise SettingsError(str(bad)) from bad
+    split_address(settings.front, "front")
+    split_address(settings.mesh_addr, "mesh_addr")
+    split_address(settings.outside.cloud, "outside.cloud")
+    split_address(settings.outside.state, "outside.state")
+    for n, peer in enumerate(settings.seeds):
+        split_address(peer.endpoint, f"seeds[{n}].endpoint")
+    facts = settings.facts
+    positive = {
+        "workers.report_s": facts.workers.report_s,
+        "workers.lease_s": facts.workers.lease_s,
+        "workers.cancel_s": facts.workers.cancel_s,
+        "state.rps": facts.state.rps,
+        "state.write_rps": facts.state.write_rps,
+        "state.value_kb": facts.state.value_kb,
+        "state.txn_ops": facts.state.txn_ops,
+        "cloud.rps": facts.cloud.rps,
+    }
+    for field, value in positive.items():
+        if not value > 0:
+            raise SettingsError(f"`$.facts.{field}`: must be above 0, is {value}")
+    names = [team.name for team in facts.teams]
+    if len(set(names)) != len(names):
+        raise SettingsError("`$.facts.teams`: a team's name appears twice")
+    return settings
+
+
+def load(path: str) -> Settings:
+    """Read the file at `path`."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as bad:
+        raise SettingsError(f"can't read {path}: {bad}") from bad
+    return parse(text)
--- /dev/null
+++ b/bayford/coordination/controller.py
@@ -0,0 +1,498 @@
+"""One controller: the threads that carry out what the engine decides, and the answers to everybody."""
+
+import logging
+import queue
+import threading
+import time
+from collections.abc import Callable
+
+from bayford.config import Settings
+from bayford.coordination import relay as relaying
+from bayford.coordination.budget import Budget
+from bayford.coordination.engine import Batch, Engine
+from bayford.coordination.membership import Membership
+from bayford.protocol import jobs, mesh, workers
+from bayford.protocol.cloud_api import Cloud, CloudBusy, NoCapacity
+from bayford.scheduling import quota
+from bayford.scheduling.model import JobSpec
+from bayford.storage import records
+from bayford.storage.mirror import Mirror
+from bayford.storage.store import LeaseGone, Put, Row, Store, Unavailable, Unknown
+
+log = logging.getLogger("bayford.controller")
+
+Answer = tuple[int, bytes]
+RETRY_S = 1
+USER_WAIT_S = 1.2  # users give up on a poll after 2 s
+GATE_WAIT_S = 1.0
+
+
+class Controller:
+    """Wires store, cloud, mirror, membership, relay and engine together."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        engine: Engine,
+        store: Store,
+        cloud: Cloud,
+        incarnation: str,
+        peers: dict[str, Callable[[float], mesh.Status | None]],
+        clock: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self.settings = settings
+        self.engine = engine
+        self.store = store
+        self.cloud = cloud
+        self.incarnation = incarnation
+        self.peers = peers
+        self.clock = clock
+        self.wall = wall
+        self.name = settings.member
+        self.mirror = Mirror(store, self._on_rows)
+        teams = [t.name for t in settings.facts.teams]
+        self.membership = Membership(store, self.mirror, self.name, incarnation, teams, clock)
+        self.relay = relaying.Relay(self.name, self.mirror, engine.value_bytes, clock)
+        state = settings.facts.state
+        # The owner writes nearly everything; the rest is left to the other controllers' submissions.
+        self.writes = Budget(state.write_rps * 0.85, max(float(state.txn_ops), state.write_rps * 0.8), clock)
+        self.zone_of = {p.member: p.site for p in settings.seeds}
+        self.zone_of[self.name] = settings.site
+        self._kick = threading.Event()
+        self._commit = threading.Event()
+        self._verify = threading.Event()
+        self._ready: dict[int, threading.Event] = {}
+        self._rentals: queue.Queue[tuple[str, str, bool, int, str]] = queue.Queue(64)
+        self._deletions: queue.Queue[str] = queue.Queue(1000)
+        self._rental_number = 0
+        self._unreachable: set[str] = set()
+        self._last_state_ok = clock()
+        engine.read_record = self._read_record
+        engine.on_ready = self._on_ready
+
+    # -- hooks -----------------------------------------------------------------------------------------
+
+    def _read_record(self, job_id: str) -> records.Record | None:
+        found = self.mirror.record(job_id)
+        return None if found is None else found[0]
+
+    def _on_ready(self, machine: int) -> None:
+        event = self._ready.get(machine)
+        if event is not None:
+            event.set()
+
+    def _on_rows(self, rows: list[Row]) -> None:
+        touched: dict[str, Row] = {}
+        for row in rows:
+            if row.key == records.MAP:
+                self.membership.on_map(row)
+            elif row.key.startswith(records.JOBS):
+                base = row.key.partition(".")[0]
+                if row.value is not None or base == row.key:
+                    touched[base] = row
+            elif row.key.startswith(records.RELAYS) and self.engine.owner:
+                name, reports = relaying.reports_in(row)
+                if name != self.name:
+                    for report in reports:
+                        self.engine.on_report(report, relay=name)
+                    self._kick.set()
+        if not self.engine.owner:
+            return
+        for base in touched:
+            found = self.mirror.record(base[len(records.JOBS) :])
+            row_ = self.mirror.get(base)
+            if found is not None and row_ is not None:
+                self.engine.on_row(row_, found[0])
+        if touched:
+            self._kick.set()
+            self._commit.set()
+
+    # -- threads ---------------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Start all threads; they run until the process ends."""
+        loops: list[tuple[str, Callable[[], float]]] = [
+            ("watch", self._watch_step),
+            ("member", self._member_step),
+            ("commit", self._commit_step),
+            ("round", self._round_step),
+            ("fleet", self._fleet_step),
+            ("list", self._list_step),
+            ("rent", self._rent_step),
+            ("delete", self._delete_step),
+            ("catalog", self._catalog_step),
+            ("peers", self._peer_step),
+        ]
+        for name, step in loops:
+            threading.Thread(target=self._loop, args=(name, step), name=name, daemon=True).start()
+        threading.Thread(target=self.mirror.serve, args=(0.03,), name="fresh", daemon=True).start()
+
+    def _loop(self, name: str, step: Callable[[], float]) -> None:
+        while True:
+            try:
+                pause = step()
+            except (Unavailable, Unknown, LeaseGone, CloudBusy) as bad:
+                log.debug("%s: %s", name, bad)
+                pause = 0.3
+            except Exception:
+                # A thread that died would leave a controller that looks alive and does nothing.
+                log.exception("%s: unexpected", name)
+                pause = 1.0
+            if pause > 0:
+                time.sleep(pause)
+
+    def _watch_step(self) -> float:
+        self.mirror.pull(8.0)
+        return 0.0
+
+    def _member_step(self) -> float:
+        self.membership.step()
+        self._settle()
+        self._publish()
+        return 0.15
+
+    def _settle(self) -> None:
+        """Make the engine follow the map."""
+        mine = self.membership.is_mine() and not self.membership.behind
+        if not mine and self.engine.owner:
+            self.engine.depose()
+        elif mine and not self.engine.owner:
+            # Every write that the old map allowed is in the mirror after this: the map's own write
+            # came later than all of them, and none can come after it.
+            self.mirror.pull(0.0)
+            found = [self.mirror.record(job_id) for job_id in self.mirror.job_ids()]
+            self.engine.adopt([f for f in found if f is not None])
+            for row in self.mirror.below(records.RELAYS):
+                self._on_rows([row])
+            self._kick.set()
+
+    def _publish(self) -> None:
+        puts = self.relay.publish()
+        if not puts:
+            return
+        step = self.settings.facts.state.txn_ops
+        for at in range(0, len(puts), step):
+            self.store.commit({}, puts[at : at + step])
+
+    def _commit_step(self) -> float:
+        """Group commit: what is dirty goes out, the most urgent first, within the rate of writes."""
+        self._commit.wait(0.25)
+        if not self.engine.owner:
+            self._commit.clear()
+            return 0.0
+        self._commit.clear()
+        view = self.membership.view
+        state = self.settings.facts.state
+        ops = min(state.txn_ops, int(self.writes.available()))
+        batch = self.engine.take_batch(view.stamp, ops) if ops >= 1 else None
+        if batch is None:
+            self._verify_step(view.stamp)
+            if self.engine.dirty():
+                self._commit.set()
+                return 0.06
+            return 0.0
+        self.writes.take(len(batch.puts))
+        self._write(batch)
+        if self.engine.dirty():
+            self._commit.set()
+        return 0.04
+
+    def _write(self, batch: Batch) -> None:
+        began = self.clock()
+        try:
+            outcome = self.store.commit(batch.conditions, batch.puts)
+        except Unavailable as bad:
+            self.engine.not_committed(batch)
+            self.writes.drain()
+            log.debug("commit refused: %s", bad)
+            time.sleep(0.1)
+            return
+        except Exception as bad:
+            self.engine.not_committed(batch)
+            log.info("commit without an answer: %r", bad)
+            return
+        if not outcome.applied:
+            self.engine.not_committed(batch)
+            self.mirror.pull(0.0)
+            if records.MAP in outcome.failed:
+                log.info("deposed: the map has changed")
+                self._settle()
+            return
+        # Our own rows first: a query answered from here must not lag behind what we act upon.
+        self.mirror.apply([Row(p.key, p.value, outcome.revision) for p in batch.puts])
+        self.engine.committed(batch, outcome.revision, began)
+
+    def _verify_step(self, stamp: int) -> None:
+        """Compare the map alone: the gate of starts, and the proof that we are still owner."""
+        began = self.clock()
+        if not self._verify.is_set() and began - self.engine.verified_at < 2.0:
+            return
+        self._verify.clear()
+        outcome = self.store.commit({records.MAP: stamp}, [])
+        if outcome.applied:
+            self.engine.verified(began)
+            self._wake_all()
+        else:
+            self.mirror.pull(0.0)
+            self._settle()
+
+    def _wake_all(self) -> None:
+        for event in list(self._ready.values()):
+            event.set()
+
+    def _round_step(self) -> float:
+        if self._kick.wait(0.5):
+            self._kick.clear()
+        if self.engine.owner:
+            self.engine.round()
+            if self.engine.dirty():
+                self._commit.set()
+        return 0.08
+
+    def _fleet_step(self) -> float:
+        if self.engine.owner:
+            step = self.engine.fleet_step()
+            for rental in step.rentals:
+                self._rentals.put(rental)
+            for name, _ in step.deletions:
+                self._deletions.put(name)
+        return 0.5
+
+    def _list_step(self) -> float:
+        if self.engine.owner:
+            began = self.clock()
+            listed = self.cloud.machines()
+            self.engine.on_list([(m.name, m.type, m.zone, m.spot, m.phase, m.age_s) for m in listed], began)
+        return 2.0
+
+    def _rent_step(self) -> float:
+        kind, zone, spot, count, _ = self._rentals.get()
+        self._rental_number += 1
+        request = f"r-{self.name}-{self.incarnation}-{self._rental_number}"
+        asked = min(count, 50)
+        at = self.clock()
+        names: list[str] = []
+        for attempt in range(4):
+            try:
+                names = self.cloud.rent(request, kind, zone, spot, asked)
+                break
+            except NoCapacity:
+                break
+            except CloudBusy as bad:
+                # The same request may be repeated: if it was carried out, the answer is the same.
+                log.info("rental %s: %s", request, bad)
+                time.sleep(0.5 * 2**attempt)
+        self.engine.rented(kind, zone, spot, count, names, at)
+        return 0.05
+
+    def _delete_step(self) -> float:
+        names = [self._deletions.get()]
+        while len(names) < 100:
+            try:
+                names.append(self._deletions.get_nowait())
+            except queue.Empty:
+                break
+        try:
+            self.cloud.delete(names)
+        except CloudBusy as bad:
+            log.info("deleting %s: %s", names, bad)
+            self.engine.not_deleted(names)
+            return 0.5
+        self.engine.deleted(names)
+        self._kick.set()
+        return 0.05
+
+    def _catalog_step(self) -> float:
+        types = self.cloud.catalog()
+        first = not self.engine.types
+        self.engine.set_types(types)
+        if first:
+            self._kick.set()
+        return 25.0 if self.engine.owner else 60.0
+
+    def _peer_step(self) -> float:
+        """Ask the others over the mesh: is the owner in reach, is a higher token about."""
+        for name, ask in self.peers.items():
+            status = ask(0.8)
+            if status is None:
+                self._unreachable.add(name)
+                continue
+            self._unreachable.discard(name)
+            self.membership.heard(status.token)
+        if self.membership.behind:
+            self.mirror.pull(0.0)
+            self._settle()
+        return 1.0
+
+    def status(self) -> mesh.Status:
+        """What peers are told."""
+        view = self.membership.view
+        return mesh.Status(self.name, view.token, view.owner)
+
+    # -- workers ---------------------------------------------------------------------------------------
+
+    def report(self, report: workers.Report, after: float) -> Answer:
+        """Answer a worker's report."""
+        arrival = self.clock()
+        if report.token > self.membership.view.token:
+            # Somebody commands with a higher token: not a word to workers before we have read its map.
+            self.membership.heard(report.token)
+            self.mirror.fresh(0.5)
+            if report.token > self.membership.view.token:
+                return 503, jobs.error("behind the map")
+        view = self.membership.view
+        if self.membership.is_mine():
+            return self._report_owned(report, arrival, after)
+        if not view.owner or self.membership.live().get(view.owner) != view.incarnation:
+            return 503, jobs.error("no owner yet")
+        unreachable = view.owner in self._unreachable
+        if not self.relay.shelters(report.machine, unreachable):
+            return 421, workers.redirect(view.owner)
+        return self._report_sheltered(report)
+
+    def _report_owned(self, report: workers.Report, arrival: float, after: float) -> Answer:
+        engine = self.engine
+        token = self.membership.view.token
+        if self.membership.behind or arrival - max(engine.verified_at, engine.owner_since) > (
+            engine.unverified_limit()
+        ):
+            return 503, jobs.error("not sure to be the owner still")
+        for _ in range(20):
+            if engine.complete:
+                break
+            time.sleep(0.1)
+        if not engine.complete:
+            return 503, jobs.error("reading the records")
+        index = engine.on_report(report, after)
+        if index is None:
+            return 200, workers.answer(token, [])
+        event = self._ready[index] = threading.Event()
+        self._kick.set()
+        if engine.dirty():
+            self._commit.set()
+        hold = engine.hold_s(index)
+        while True:
+            event.clear()
+            orders, gated = engine.orders_for(index, arrival)
+            waited = self.clock() - arrival
+            if orders and not gated:
+                break
+            if gated:
+                if waited >= GATE_WAIT_S + hold:
+                    break
+                self._verify.set()
+                self._commit.set()
+                event.wait(0.3)
+            elif waited < hold:
+                event.wait(hold - waited)
+            else:
+                break
+        if not self.membership.is_mine() or self.membership.view.token != token or self.membership.behind:
+            return 503, jobs.error("no longer the owner")
+        return 200, workers.answer(token, orders)
+
+    def _report_sheltered(self, report: workers.Report) -> Answer:
+        self.relay.note(report)
+        if not self.mirror.fresh(1.5):
+            # The state service is out or refuses us. The token we know may be old, but then the worker
+            # has seen a higher one and drops this; no orders without a fresh view.
+            view = self.membership.view
+            if self.clock() - self.mirror.fresh_at > self.engine.unverified_limit():
+                return 503, jobs.error("no view of the state")
+            return 200, workers.answer(view.token, [])
+        view = self.membership.view
+        return 200, workers.answer(view.token, self.relay.orders(report))
+
+    # -- users -----------------------------------------------------------------------------------------
+
+    def healthy(self) -> bool:
+        """Whether this node can take requests: it has a view of the store."""
+        return self.mirror.revision >= 0 and self.clock() - self.mirror.fresh_at < 60.0
+
+    def submit(self, body: bytes) -> Answer:
+        """Accept a job: durable before the answer."""
+        try:
+            spec = jobs.parse_submission(body)
+        except jobs.Invalid as bad:
+            return 400, jobs.error(str(bad))
+        if not self.mirror.fresh(USER_WAIT_S):
+            return 503, jobs.error("the state service does not answer")
+        for _ in range(3):
+            known = self._read_record(spec.id)
+            if known is not None:
+                return 200, jobs.state(known)
+            refusal = self._refuse(spec)
+            if refusal is not None:
+                return refusal
+            record = records.Record(spec, round(self.wall(), 2))
+            rows = records.encode(record, self.engine.value_bytes)
+            try:
+                outcome = self.store.commit({records.key(spec.id): 0}, [Put(k, v) for k, v in rows])
+            except (Unavailable, Unknown, LeaseGone):
+                return 503, jobs.error("the state service does not answer")
+            if outcome.applied:
+                self.mirror.apply([Row(k, v, outcome.revision) for k, v in rows])
+                return 201, jobs.state(record)
+            if not self.mirror.fresh(USER_WAIT_S):
+                break
+        return 503, jobs.error("try again")
+
+    def _refuse(self, spec: JobSpec) -> Answer | None:
+        types = self.engine.catalog()
+        if not types:
+            return 503, jobs.error("machine types are not known yet")
+        team = self.engine.teams_by.find(spec.team)
+        if team is None:
+            return 422, jobs.error(f"unknown team {spec.team}")
+        if quota.never_fits(self.engine.shares, team, spec):
+            return 422, jobs.error(f"one task needs more than the limit of team {spec.team}")
+        for kind in types:
+            if spec.types is not None and kind.name not in spec.types:
+                continue
+            if spec.zone is not None and spec.zone not in kind.zones:
+                continue
+            if kind.fits(spec):
+                return None
+        return 422, jobs.error("a task fits no allowed machine type")
+
+    def query(self, job_id: str) -> Answer:
+        """A job's state, never older than what anybody was told."""
+        found = self.mirror.record(job_id)
+        # Done and cancelled are final: the mirror is enough for them.
+        if found is None or not (found[0].cancelled or found[0].finished):
+            if not self.mirror.fresh(USER_WAIT_S):
+                return 503, jobs.error("the state service does not answer")
+            found = self.mirror.record(job_id)
+        if found is None:
+            return 404, jobs.error("no such job")
+        return 200, jobs.state(found[0])
+
+    def cancel(self, job_id: str) -> Answer:
+        """Cancel a job: durable before the answer, and never after it was called done."""
+        for _ in range(6):
+            if not self.mirror.fresh(USER_WAIT_S):
+                return 503, jobs.error("the state service does not answer")
+            found = self.mirror.record(job_id)
+            if found is None:
+                return 404, jobs.error("no such job")
+            record, stamp = found
+            if record.cancelled or record.finished:
+                return 200, jobs.state(record)
+            changed = records.Record(
+                record.spec,
+                record.created,
+                round(self.wall(), 2),
+                record.next_attempt,
+                record.done,
+                record.open,
+            )
+            rows = records.encode(changed, self.engine.value_bytes)
+            try:
+                outcome = self.store.commit({records.key(job_id): stamp}, [Put(k, v) for k, v in rows])
+            except (Unavailable, Unknown, LeaseGone):
+                return 503, jobs.error("the state service does not answer")
+            if outcome.applied:
+                self.mirror.apply([Row(k, v, outcome.revision) for k, v in rows])
+                return 200, jobs.state(changed)
+        return 503, jobs.error("the job changes too fast, try again")
--- /dev/null
+++ b/bayford/coordination/relay.py
@@ -0,0 +1,126 @@
+"""Answering workers that can't reach the owner.
+
+In a cut between zones, or when the owner alone is cut off, a worker that the owner can't hear reports to
+another controller. That one keeps its lease alive with the current token, passes its reports to the owner
+through the store, and answers with what the records say: the placements of the machine are its orders,
+for they were committed before any start went out. It decides nothing by itself.
+"""
+
+import threading
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from bayford.protocol import mesh, workers
+from bayford.storage import records
+from bayford.storage.mirror import Mirror
+from bayford.storage.store import Put, Row
+
+SHELTER_S = 30.0
+RETURN_S = 20.0
+
+
+class Relay:
+    """The machines that this controller answers on the owner's behalf."""
+
+    def __init__(self, name: str, mirror: Mirror, value_bytes: int, clock: Callable[[], float]) -> None:
+        self._name = name
+        self._mirror = mirror
+        self._value_bytes = value_bytes
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._sent_away: dict[str, float] = {}
+        self._until: dict[str, float] = {}
+        self._reports: dict[str, tuple[float, workers.Report]] = {}
+        self._changed = False
+        self._published = -1e18
+        self._keys = 0
+
+    def shelters(self, machine: str, owner_unreachable: bool) -> bool:
+        """Whether to answer this machine here. If not, it is about to be sent to the owner: remember that.
+
+        A machine that comes back soon after it was sent to the owner could not reach it.
+        """
+        now = self._clock()
+        with self._lock:
+            if owner_unreachable:
+                self._until[machine] = now + SHELTER_S / 3
+            sent = self._sent_away.get(machine)
+            if sent is not None and 1.0 < now - sent < RETURN_S:
+                self._until[machine] = now + SHELTER_S
+                self._sent_away.pop(machine, None)
+            if self._until.get(machine, 0.0) > now:
+                return True
+            self._sent_away[machine] = now
+            if len(self._sent_away) > 4000:
+                self._sent_away = {m: t for m, t in self._sent_away.items() if now - t < RETURN_S}
+            return False
+
+    def note(self, report: workers.Report) -> None:
+        """Keep a sheltered machine's newest report for the owner."""
+        with self._lock:
+            old = self._reports.get(report.machine)
+            if old is None or (report.session, report.tick) > (old[1].session, old[1].tick):
+                if old is None or old[1].tasks != report.tasks or old[1].session != report.session:
+                    self._changed = True
+                self._reports[report.machine] = (self._clock(), report)
+
+    def orders(self, report: workers.Report) -> list[workers.Order]:
+        """What the records say about this machine. The mirror must be fresher than the report."""
+        place = f"{report.machine} {report.session}"
+        have = {(t.part, t.attempt): t for t in report.tasks}
+        out: list[workers.Order] = []
+        wanted: set[tuple[str, int]] = set()
+        for job_id in self._mirror.job_ids():
+            found = self._mirror.record(job_id)
+            if found is None:
+                continue
+            for task, attempt in found[0].open.get(place, ()):
+                part = workers.task_name(job_id, task)
+                key = (part, attempt)
+                wanted.add(key)
+                if found[0].cancelled:
+                    if key in have and have[key].phase != workers.ENDED:
+                        out.append(workers.Halt(part, attempt, 0.0))
+                elif key not in have:
+                    out.append(workers.Start(part, attempt))
+        for key, state in have.items():
+            if key not in wanted and state.phase == workers.ENDED:
+                out.append(workers.Reap(*key))
+        return out
+
+    def publish(self) -> list[Put]:
+        """The writes that pass the reports on, or none if there is nothing to say yet."""
+        now = self._clock()
+        with self._lock:
+            self._reports = {m: r for m, r in self._reports.items() if now - r[0] < 8.0}
+            if not self._reports and not self._keys:
+                return []
+            if now - self._published < (0.7 if self._changed else 4.0):
+                return []
+            self._published = now
+            self._changed = False
+            rows = [mesh.pack_report(report) for _, report in self._reports.values()]
+        chunks: list[list[Any]] = []
+        size = self._value_bytes
+        for row in rows:
+            length = len(orjson.dumps(row)) + 1
+            if size + length > self._value_bytes - 64:
+                chunks.append([])
+                size = 0
+            chunks[-1].append(row)
+            size += length
+        puts = [Put(self._key(n), chunk) for n, chunk in enumerate(chunks)]
+        puts += [Put(self._key(n), None) for n in range(len(chunks), self._keys)]
+        self._keys = len(chunks)
+        return puts
+
+    def _key(self, n: int) -> str:
+        return f"{records.RELAYS}{self._name}/{n}"
+
+
+def reports_in(row: Row) -> tuple[str, list[workers.Report]]:
+    """The relay's name and the reports in one of its rows."""
+    name = row.key[len(records.RELAYS) :].partition("/")[0]
+    return name, [mesh.unpack_report(r) for r in row.value or ()]
--- /dev/null
+++ b/bayford/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without I/O, clock or global randomness."""
--- /dev/null
+++ b/bayford/scheduling/fleet.py
@@ -0,0 +1,111 @@
+"""When to rent and when to return machines. Pure: the caller counts, this decides."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from bayford.scheduling.model import EPS, MachineType
+
+MIN_CHARGE_S = 60.0  # a deleted machine costs at least this long
+
+
+@dataclass(frozen=True, slots=True)
+class Option:
+    """A kind of machine that can be asked for: type, zone, spot or ordinary."""
+
+    type: int
+    zone: int
+    spot: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """Waiting work of one shape: who may serve it and how much of it there is."""
+
+    options: frozenset[Option]
+    tasks: int
+    cpus: float
+    gpus: float
+    mem_gb: float
+    run_s: float  # expected seconds of one task
+    urgent: bool
+    late: bool  # already overdue, or sure to be, if nothing more is rented
+
+
+@dataclass(frozen=True, slots=True)
+class Rental:
+    """Rent `count` machines of this kind."""
+
+    option: Option
+    count: int
+    why: str
+
+
+def slots(kind: MachineType, cpus: float, gpus: float, mem_gb: float) -> int:
+    """How many such tasks an empty machine holds."""
+    most = 1e9
+    if cpus > 0:
+        most = min(most, (kind.cpus + EPS) / cpus)
+    if gpus > 0:
+        most = min(most, (kind.gpus + EPS) / gpus)
+    if mem_gb > 0:
+        most = min(most, (kind.mem_gb + EPS) / mem_gb)
+    return int(most)
+
+
+def wanted(
+    needs: Sequence[Need],
+    types: Sequence[MachineType],
+    spare: Mapping[Option, int],
+    refused: frozenset[Option],
+    busy_s: float,
+    ordinary_after_s: float,
+    patience_s: float,
+) -> list[Rental]:
+    """What to rent for `needs`.
+
+    `spare` counts machines that are coming up, by kind; they serve needs first. `busy_s` is how long the
+    present fleet needs for its backlog: work that the fleet clears within `patience_s` waits for it, and
+    dearer ordinary machines are taken only when the backlog exceeds `ordinary_after_s` or for urgent work.
+    """
+    coming = dict(spare)
+    ask: dict[Option, tuple[int, str]] = {}
+    for need in sorted(needs, key=lambda n: (not n.urgent, not n.late, -n.run_s)):
+        left = need.tasks
+        for option in need.options:
+            have = coming.get(option, 0)
+            per = slots(types[option.type], need.cpus, need.gpus, need.mem_gb)
+            if have and per:
+                use = min(have, -(-left // per))
+                coming[option] = have - use
+                left -= use * per
+                if left <= 0:
+                    break
+        if left <= 0 or (not need.urgent and busy_s < patience_s):
+            continue
+        choices = []
+        for option in need.options - refused:
+            kind = types[option.type]
+            per = slots(kind, need.cpus, need.gpus, need.mem_gb)
+            if not per:
+                continue
+            if not option.spot and not need.urgent and busy_s < ordinary_after_s:
+                continue
+            rate = kind.spot_price if option.spot else kind.price
+            choices.append((rate / per * (1.0 + kind.boot_s / (MIN_CHARGE_S * 4)), option, per))
+        for _, option, per in sorted(choices, key=lambda c: (c[0], c[1].type, c[1].zone, c[1].spot)):
+            count = min(50, -(-left // per))
+            before, why = ask.get(option, (0, "urgent work waits" if need.urgent else "backlog"))
+            ask[option] = (before + count, why)
+            left -= count * per
+            break
+    return [Rental(option, min(50, count), why) for option, (count, why) in ask.items()]
+
+
+def should_return(
+    idle_s: float, age_s: float, boot_s: float, ordinary: bool, waiting: bool, keep_s: float
+) -> bool:
+    """Whether an idle machine goes back. Below the minimum charge, keeping it costs nothing."""
+    if waiting or age_s < MIN_CHARGE_S:
+        return False
+    patience = keep_s * (0.4 if ordinary else 1.0)
+    return idle_s > max(patience, boot_s * 0.25)
--- /dev/null
+++ b/bayford/scheduling/model.py
@@ -0,0 +1,210 @@
+"""What the decisions are about: jobs, tasks, machines and teams, by dense index.
+
+Names become indices at the door (`Names`), so that the hot paths compare small integers. Nothing here
+knows a wire name, a clock or a socket.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+PRIORITIES = ("idle", "normal", "urgent", "critical")
+URGENT = PRIORITIES.index("urgent")
+EPS = 1e-6
+
+
+class Names:
+    """A two-way table of names and dense indices; an index never changes its name."""
+
+    def __init__(self, names: Iterable[str] = ()) -> None:
+        self.names: list[str] = []
+        self._index: dict[str, int] = {}
+        for name in names:
+            self.index(name)
+
+    def index(self, name: str) -> int:
+        """The index of `name`, given out now if it is new."""
+        got = self._index.get(name)
+        if got is None:
+            got = self._index[name] = len(self.names)
+            self.names.append(name)
+        return got
+
+    def find(self, name: str) -> int | None:
+        """The index of `name` if it has one."""
+        return self._index.get(name)
+
+    def __getitem__(self, index: int) -> str:
+        return self.names[index]
+
+    def __len__(self) -> int:
+        return len(self.names)
+
+
+class JobSpec(msgspec.Struct, frozen=True, array_like=True):
+    """A job as its user described it. Stored as an array, so the field order is part of the record."""
+
+    id: str
+    job_class: str
+    team: str
+    priority: int
+    tasks: int
+    cpus: float
+    gpus: float
+    mem_gb: float
+    image: str
+    image_gb: float
+    types: list[str] | None
+    zone: str | None
+    one_zone: bool
+    spread: bool
+    spot: bool
+    estimate_s: float
+    checkpoint_s: float
+    save_s: float
+    deadline_s: float | None
+
+
+class MachineType(msgspec.Struct, frozen=True):
+    """One row of the cloud's catalog."""
+
+    name: str
+    cpus: float
+    gpus: float
+    mem_gb: float
+    price: float
+    spot_price: float
+    boot_s: float
+    fetch_gb_per_s: float
+    zones: tuple[str, ...]
+
+    def fits(self, spec: JobSpec) -> bool:
+        """Whether one task of the job fits into an empty machine of this type."""
+        return (
+            spec.cpus <= self.cpus + EPS and spec.gpus <= self.gpus + EPS and spec.mem_gb <= self.mem_gb + EPS
+        )
+
+
+@dataclass(slots=True)
+class Placement:
+    """A task on a machine: open from before its start goes out until evidence closes it."""
+
+    task: int
+    attempt: int
+    machine: int
+    session: int
+    durable: bool = False  # committed: only then may its start go out
+    started: bool = False  # the machine has been seen with it
+    running_since: float | None = None
+    fetching: bool = False
+    halting: bool = False
+    halt_grace: float = 0.0
+    placed_at: float = 0.0
+
+
+@dataclass(slots=True)
+class Job:
+    """A job under this controller's decision."""
+
+    spec: JobSpec
+    team: int
+    image: int
+    job_class: int
+    zone: int | None  # the only zone allowed
+    types: frozenset[int] | None
+    created: float  # seconds on the local steady clock; may lie before this process began
+    created_wall: float
+    done: set[int] = field(default_factory=set)
+    open: dict[int, Placement] = field(default_factory=dict)
+    waiting: list[int] = field(default_factory=list)  # a stack: the next task is last
+    next_attempt: int = 1
+    cancelled: bool = False
+    cancelled_at: float = 0.0
+    cancel_known: float = 0.0  # when this controller learned of it
+    stamp: int = 0
+    pieces: int = 1
+    not_before: float = 0.0
+    errors: int = 0
+    failed_on: set[int] = field(default_factory=set)
+    hints: dict[int, int] = field(default_factory=dict)  # task -> machine that the balancer chose for it
+    saved: dict[int, float] = field(default_factory=dict)  # task -> seconds of progress believed saved
+    why_waiting: str = ""
+
+    @property
+    def finished(self) -> bool:
+        """All tasks done. A done job is never cancelled afterwards."""
+        return len(self.done) == self.spec.tasks
+
+    def requeue(self, task: int) -> None:
+        """Put a task that was on a machine back in front of the queue."""
+        if task not in self.done:
+            self.waiting.append(task)
+
+
+@dataclass(slots=True)
+class Machine:
+    """A rented machine as last heard of; `None` of the type means that no report has named it yet."""
+
+    index: int
+    name: str
+    type: int | None = None
+    zone: int | None = None
+    spot: bool = False
+    cpus: float = 0.0
+    gpus: float = 0.0
+    mem_gb: float = 0.0
+    address: str = ""
+    session: int = 0
+    tick: int = -1
+    heard: float = 0.0  # last report, or when this controller first knew of it
+    reported: bool = False  # a report of it has come to this controller
+    relay: str = ""  # the controller that hears it, if not this one
+    rented: float = 0.0
+    listed: bool = False
+    missing: int = 0
+    notice: float | None = None  # when the cloud takes it
+    draining: bool = False
+    quarantined: bool = False
+    deleting: bool = False
+    failed_jobs: dict[str, int] = field(default_factory=dict)
+    good: int = 0
+    idle_since: float = 0.0
+    images: dict[int, bool] = field(default_factory=dict)  # image -> fetched (False: on its way)
+    open: dict[tuple[str, int], Placement] = field(default_factory=dict)
+    strays: int = 0
+    free_cpus: float = 0.0
+    free_gpus: float = 0.0
+    free_mem: float = 0.0
+    full_until: float = 0.0
+    speed: float = 1.0
+
+    @property
+    def usable(self) -> bool:
+        """May new tasks go there."""
+        return (
+            self.reported
+            and self.type is not None
+            and not (self.draining or self.quarantined or self.deleting)
+            and self.notice is None
+        )
+
+    def take(self, spec: JobSpec) -> None:
+        """Book one task."""
+        self.free_cpus -= spec.cpus
+        self.free_gpus -= spec.gpus
+        self.free_mem -= spec.mem_gb
+
+    def give(self, spec: JobSpec) -> None:
+        """Unbook one task."""
+        self.free_cpus += spec.cpus
+        self.free_gpus += spec.gpus
+        self.free_mem += spec.mem_gb
+
+    def has_room(self, spec: JobSpec) -> bool:
+        """Whether one task fits besides everything booked."""
+        return (
+            spec.cpus <= self.free_cpus + EPS
+            and spec.gpus <= self.free_gpus + EPS
+            and spec.mem_gb <= self.free_mem + EPS
+        )
--- /dev/null
+++ b/bayford/scheduling/placement.py
@@ -0,0 +1,68 @@
+"""Which machine a waiting task goes to.
+
+Pure: reads the machines' booked room and the job's own open placements, changes nothing.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+
+from bayford.scheduling.model import Job, Machine
+
+
+def zones_open(job: Job, zone_of: Callable[[int], int | None]) -> dict[int, int]:
+    """How many open placements the job has in each zone."""
+    count: dict[int, int] = {}
+    for place in job.open.values():
+        zone = zone_of(place.machine)
+        if zone is not None:
+            count[zone] = count.get(zone, 0) + 1
+    return count
+
+
+def zone_allowed(job: Job, zone: int, counts: dict[int, int]) -> bool:
+    """The zone rules of the job, given its open placements: its own zone, together, apart."""
+    if job.zone is not None and zone != job.zone:
+        return False
+    if job.spec.one_zone and any(z != zone for z in counts):
+        return False
+    return not (job.spec.spread and counts.get(zone, 0) >= (job.spec.tasks + 1) // 2)
+
+
+def type_allowed(job: Job, machine: Machine) -> bool:
+    """Type and kind of the machine against what the job allows."""
+    return (job.types is None or machine.type in job.types) and (job.spec.spot or not machine.spot)
+
+
+def candidates(job: Job, machines: Iterable[Machine], counts: dict[int, int], now: float) -> list[Machine]:
+    """The machines where a task of the job may start now, room not considered."""
+    return [
+        m
+        for m in machines
+        if m.usable
+        and m.full_until <= now
+        and m.zone is not None
+        and type_allowed(job, m)
+        and zone_allowed(job, m.zone, counts)
+        and m.index not in job.failed_on
+    ]
+
+
+def score(job: Job, machine: Machine) -> tuple[float, ...]:
+    """Smaller is better: image there, then on its way; then the fullest machine, so that others empty."""
+    have = machine.images.get(job.image)
+    image = 0.0 if have else 1.0 if have is not None else 2.0
+    return (image, machine.free_cpus - job.spec.cpus, machine.index)
+
+
+def choose(job: Job, machines: Sequence[Machine], hint: int | None = None) -> Machine | None:
+    """The best of `machines` (already allowed) with room, the balancer's hint first."""
+    best: Machine | None = None
+    best_score: tuple[float, ...] = ()
+    for m in machines:
+        if not m.has_room(job.spec):
+            continue
+        if m.index == hint:
+            return m
+        s = score(job, m)
+        if best is None or s < best_score:
+            best, best_score = m, s
+    return best
--- /dev/null
+++ b/bayford/scheduling/preemption.py
@@ -0,0 +1,71 @@
+"""Whose task stops so that waiting work can run, and what that loses.
+
+PROTOCOL "Preemption": a lower priority may be stopped for a higher one; borrowed work may be stopped to
+give a team its guarantee; nothing else.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from bayford.scheduling.model import Job, Machine, Placement
+from bayford.scheduling.quota import Share
+
+
+@dataclass(frozen=True, slots=True)
+class Victim:
+    """A running task that may be stopped, and the seconds of work that stopping it throws away."""
+
+    job: Job
+    place: Placement
+    loss: float
+
+
+def may_stop(waiting: Job, running: Job, shares: list[Share]) -> bool:
+    """Whether PROTOCOL lets `waiting` push out a task of `running`."""
+    if waiting is running:
+        return False
+    if waiting.spec.priority > running.spec.priority:
+        return True
+    return (
+        waiting.team != running.team
+        and shares[running.team].beyond
+        and shares[waiting.team].within_guarantee(waiting.spec)
+    )
+
+
+def lost_work(job: Job, place: Placement, now: float, expected_s: float) -> float:
+    """Seconds of work lost by stopping now; a task close to its end is a poor victim, so that adds.
+
+    A checkpointing task loses only what saving costs; others lose all they have run.
+    """
+    if place.running_since is None:
+        return 0.0
+    ran = max(0.0, now - place.running_since)
+    if job.spec.checkpoint_s > 0:
+        return job.spec.save_s + 1.0
+    left = expected_s - ran
+    near_end = 0.0 if left > 0.25 * expected_s else 0.5 * expected_s
+    return ran + near_end
+
+
+def victims_on(
+    machine: Machine, waiting: Job, found: Iterable[Victim], slots: int
+) -> tuple[list[Victim], float] | None:
+    """The cheapest stops on this machine that make room for one task, or None. `slots` bounds the stops."""
+    spec = waiting.spec
+    cpus, gpus, mem = machine.free_cpus, machine.free_gpus, machine.free_mem
+    chosen: list[Victim] = []
+    loss = 0.0
+    for victim in sorted(found, key=lambda v: v.loss / max(v.job.spec.cpus, 0.1)):
+        if cpus + 1e-6 >= spec.cpus and gpus + 1e-6 >= spec.gpus and mem + 1e-6 >= spec.mem_gb:
+            break
+        if len(chosen) == slots:
+            return None
+        chosen.append(victim)
+        loss += victim.loss * victim.job.spec.cpus
+        cpus += victim.job.spec.cpus
+        gpus += victim.job.spec.gpus
+        mem += victim.job.spec.mem_gb
+    if cpus + 1e-6 >= spec.cpus and gpus + 1e-6 >= spec.gpus and mem + 1e-6 >= spec.mem_gb and chosen:
+        return chosen, loss
+    return None
--- /dev/null
+++ b/bayford/scheduling/quota.py
@@ -0,0 +1,67 @@
+"""Team limits and guarantees, counted over open placements.
+
+A placement counts from before its start goes out until it is closed on evidence, so what the team's
+tasks really use can never be more than what is counted here.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from bayford.scheduling.model import EPS, JobSpec
+
+
+@dataclass(slots=True)
+class Share:
+    """One team's guarantee, limit and use."""
+
+    name: str
+    cpus: float
+    cpus_max: float
+    gpus: float
+    gpus_max: float
+    used_cpus: float = 0.0
+    used_gpus: float = 0.0
+
+    def take(self, spec: JobSpec) -> None:
+        """Count one open placement."""
+        self.used_cpus += spec.cpus
+        self.used_gpus += spec.gpus
+
+    def give(self, spec: JobSpec) -> None:
+        """A placement was closed."""
+        self.used_cpus -= spec.cpus
+        self.used_gpus -= spec.gpus
+
+    def allows(self, spec: JobSpec) -> bool:
+        """Whether one more task stays within the limit. A limit of 0 means none of it at all."""
+        return (
+            self.used_cpus + spec.cpus <= self.cpus_max + EPS
+            and self.used_gpus + spec.gpus <= self.gpus_max + EPS
+        )
+
+    def could_ever(self, spec: JobSpec) -> bool:
+        """Whether one task alone stays within the limit."""
+        return spec.cpus <= self.cpus_max + EPS and spec.gpus <= self.gpus_max + EPS
+
+    def room(self, spec: JobSpec) -> int:
+        """How many more such tasks the limit allows."""
+        most = float(spec.tasks)
+        if spec.cpus > 0:
+            most = min(most, (self.cpus_max - self.used_cpus + EPS) / spec.cpus)
+        if spec.gpus > 0:
+            most = min(most, (self.gpus_max - self.used_gpus + EPS) / spec.gpus)
+        return max(0, int(most))
+
+    def within_guarantee(self, spec: JobSpec) -> bool:
+        """Whether one more task still lies within what the team is guaranteed."""
+        return self.used_cpus + spec.cpus <= self.cpus + EPS and self.used_gpus + spec.gpus <= self.gpus + EPS
+
+    @property
+    def beyond(self) -> bool:
+        """Whether the team borrows: it uses more than its guarantee."""
+        return self.used_cpus > self.cpus + EPS or self.used_gpus > self.gpus + EPS
+
+
+def never_fits(shares: Sequence[Share], team: int, spec: JobSpec) -> bool:
+    """A job of which not even one task can run within the team's limit."""
+    return not shares[team].could_ever(spec)
--- /dev/null
+++ b/bayford/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP servers and clients: threads, blocking sockets, timeouts everywhere."""
--- /dev/null
+++ b/bayford/transport/front.py
@@ -0,0 +1,89 @@
+"""Routes of the front (users, workers, health checks) and of the mesh."""
+
+from bayford.coordination.controller import RETRY_S, Answer, Controller
+from bayford.protocol import jobs, mesh, workers
+from bayford.transport.limit import Limit
+from bayford.transport.server import Request, Response
+
+
+class Front:
+    """Users and workers."""
+
+    def __init__(self, controller: Controller, limit: Limit) -> None:
+        self._controller = controller
+        self._limit = limit
+
+    def handle(self, request: Request) -> Response:
+        """Route one request. Reports and health checks are never shed behind users."""
+        path = request.path.partition("?")[0]
+        if path == workers.REPORT_PATH:
+            if request.method != "POST":
+                return _wrong_method("POST")
+            return self._report(request)
+        if path == jobs.HEALTH_PATH:
+            if request.method != "GET":
+                return _wrong_method("GET")
+            if self._controller.healthy():
+                return Response(200, b'{"ok":true}')
+            return Response(503, b'{"ok":false}')
+        if path == jobs.SUBMIT_PATH or path.startswith(jobs.SUBMIT_PATH + "/"):
+            return self._user(request, path)
+        return Response(404, jobs.error("no such path"))
+
+    def _report(self, request: Request) -> Response:
+        try:
+            report = workers.parse_report(request.body)
+        except jobs.Invalid as bad:
+            return Response(400, jobs.error(str(bad)))
+        return Response(*self._controller.report(report, request.after))
+
+    def _user(self, request: Request, path: str) -> Response:
+        rest = path[len(jobs.SUBMIT_PATH) :].strip("/").split("/")
+        if rest == [""]:
+            allowed = "POST"
+        elif len(rest) == 1:
+            allowed = "GET"
+        elif len(rest) == 2 and rest[1] == jobs.CANCEL:
+            allowed = "POST"
+        else:
+            return Response(404, jobs.error("no such path"))
+        if request.method != allowed:
+            return _wrong_method(allowed)
+        if rest != [""] and jobs.job_id(rest[0]) is None:
+            return Response(404, jobs.error("no such job"))
+        # A request that can't be taken is answered at once, with when to come back.
+        with self._limit.enter() as entered:
+            if not entered:
+                return _later(503, jobs.error("too many requests in progress"))
+            return self._serve(request, rest)
+
+    def _serve(self, request: Request, rest: list[str]) -> Response:
+        answer: Answer
+        if rest == [""]:
+            answer = self._controller.submit(request.body)
+        elif len(rest) == 1:
+            answer = self._controller.query(rest[0])
+        else:
+            answer = self._controller.cancel(rest[0])
+        return _later(*answer) if answer[0] == 503 else Response(*answer)
+
+
+def _later(status: int, body: bytes) -> Response:
+    return Response(status, body, (("Retry-After", str(RETRY_S)),))
+
+
+def _wrong_method(allowed: str) -> Response:
+    return Response(405, jobs.error(f"use {allowed}"), (("Allow", allowed),))
+
+
+class Mesh:
+    """The other controllers."""
+
+    def __init__(self, controller: Controller) -> None:
+        self._controller = controller
+
+    def handle(self, request: Request) -> Response:
+        """Route one request."""
+        if request.path == mesh.STATUS_PATH and request.method == "GET":
+            return Response(200, mesh.encode_status(self._controller.status()))
+        return Response(404, jobs.error("no such path"))
