Stories against in-memory fakes; a cancelled job is halted after a takeover

Cause: a cancelled job rebuilt from its record by a new owner had placements that nobody halted. Found by a story of a takeover; guarded in Engine._load.

--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -40,7 +40,11 @@
         peers: dict[str, Callable[[float], mesh.Status | None]],
         clock: Callable[[], float] = time.monotonic,
         wall: Callable[[], float] = time.time,
+        pause: Callable[[threading.Event, float], object] = threading.Event.wait,
+        threaded: bool = True,
     ) -> None:
+        """`pause` waits for an event; the stories in tests/ pass one that moves their clock instead."""
+        self._pause = pause
         self.settings = settings
         self.engine = engine
         self.store = store
@@ -50,7 +54,7 @@
         self.clock = clock
         self.wall = wall
         self.name = settings.member
-        self.mirror = Mirror(store, self._on_rows)
+        self.mirror = Mirror(store, self._on_rows, threaded)
         teams = [t.name for t in settings.facts.teams]
         self.membership = Membership(store, self.mirror, self.name, incarnation, teams, clock)
         self.relay = relaying.Relay(self.name, self.mirror, engine.value_bytes, clock)
@@ -178,10 +182,11 @@
     def _commit_step(self) -> float:
         """Group commit: what is dirty goes out, the most urgent first, within the rate of writes."""
         self._commit.wait(0.25)
-        if not self.engine.owner:
-            self._commit.clear()
-            return 0.0
         self._commit.clear()
+        return self.commit_once() if self.engine.owner else 0.0
+
+    def commit_once(self) -> float:
+        """One transaction, or a comparison of the map if that is wanted and nothing is dirty."""
         view = self.membership.view
         state = self.settings.facts.state
         ops = min(state.txn_ops, int(self.writes.available()))
@@ -206,7 +211,6 @@
             self.engine.not_committed(batch)
             self.writes.drain()
             log.debug("commit refused: %s", bad)
-            time.sleep(0.1)
             return
         except Exception as bad:
             self.engine.not_committed(batch)
@@ -267,7 +271,11 @@
         return 2.0
 
     def _rent_step(self) -> float:
-        kind, zone, spot, count, _ = self._rentals.get()
+        self.rent(*self._rentals.get())
+        return 0.05
+
+    def rent(self, kind: str, zone: str, spot: bool, count: int, why: str) -> None:
+        """Rent under a name that no request, of whatever process, has had before."""
         self._rental_number += 1
         request = f"r-{self.name}-{self.incarnation}-{self._rental_number}"
         asked = min(count, 50)
@@ -282,9 +290,9 @@
             except CloudBusy as bad:
                 # The same request may be repeated: if it was carried out, the answer is the same.
                 log.info("rental %s: %s", request, bad)
-                time.sleep(0.5 * 2**attempt)
+                self._pause(threading.Event(), 0.5 * 2**attempt)
+        log.debug("rental %s (%s): %s", request, why, names)
         self.engine.rented(kind, zone, spot, count, names, at)
-        return 0.05
 
     def _delete_step(self) -> float:
         names = [self._deletions.get()]
@@ -293,15 +301,19 @@
                 names.append(self._deletions.get_nowait())
             except queue.Empty:
                 break
+        return 0.05 if self.delete(names) else 0.5
+
+    def delete(self, names: list[str]) -> bool:
+        """Delete machines; only the cloud's 200 proves that their tasks are gone."""
         try:
             self.cloud.delete(names)
         except CloudBusy as bad:
             log.info("deleting %s: %s", names, bad)
             self.engine.not_deleted(names)
-            return 0.5
+            return False
         self.engine.deleted(names)
         self._kick.set()
-        return 0.05
+        return True
 
     def _catalog_step(self) -> float:
         types = self.cloud.catalog()
@@ -361,7 +373,7 @@
         for _ in range(20):
             if engine.complete:
                 break
-            time.sleep(0.1)
+            self._pause(threading.Event(), 0.1)
         if not engine.complete:
             return 503, jobs.error("reading the records")
         index = engine.on_report(report, after)
@@ -383,9 +395,9 @@
                     break
                 self._verify.set()
                 self._commit.set()
-                event.wait(0.3)
+                self._pause(event, 0.3)
             elif waited < hold:
-                event.wait(hold - waited)
+                self._pause(event, hold - waited)
             else:
                 break
         if not self.membership.is_mine() or self.membership.view.token != token or self.membership.behind:
--- a/bayford/coordination/engine.py
+++ b/bayford/coordination/engine.py
@@ -168,6 +168,7 @@
             machine = self._machine(name, now)
             for task, attempt in pairs:
                 place = Placement(task, attempt, machine.index, int(session), durable=True, placed_at=now)
+                place.halting = job.cancelled  # the cancellation outlives the owner that saw it
                 self._book(job, machine, place)
         if not job.cancelled:
             job.waiting = [
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -10,7 +10,7 @@
     aging_s: float = 60.0
     guarantee_first: bool = True
     preempt_per_round: int = 16
-    guarantee_wait_s: float = 15.0
+    guarantee_wait_s: float = 60.0
     ordinary_after_s: float = 60.0
     patience_s: float = 2.0
     refused_s: float = 20.0
--- a/bayford/storage/mirror.py
+++ b/bayford/storage/mirror.py
@@ -19,7 +19,9 @@
 class Mirror:
     """All rows under `records.PREFIX`, by key."""
 
-    def __init__(self, store: Store, listener: Listener | None = None) -> None:
+    def __init__(self, store: Store, listener: Listener | None = None, threaded: bool = True) -> None:
+        """Without `threaded` there is no thread behind `fresh`: the caller's own reads."""
+        self._threaded = threaded
         self._store = store
         self._lock = threading.Lock()
         self._rows: dict[str, Row] = {}
@@ -85,6 +87,8 @@
 
     def fresh(self, timeout_s: float) -> bool:
         """Wait until a read sent after this call has been taken in. False: not possible now."""
+        if not self._threaded:
+            return self._pull_once()
         with self._want:
             self._asked += 1
             ticket = self._asked
