--- a/bayford/coordination/engine.py
+++ b/bayford/coordination/engine.py
@@ -734,6 +734,10 @@
                 if place.halting:
                     halting = True
                 elif preemption.may_stop(waiting, job, self.shares):
+                    ran = 0.0 if place.running_since is None else now - place.running_since
+                    left_s = self.expected(job) - ran
+                    if waiting.spec.priority < URGENT and left_s < self.policy.guarantee_wait_s / 2:
+                        continue  # it gives the room back by itself soon; stopping it wastes its work
                     loss = preemption.lost_work(job, place, now, self.expected(job))
                     found.append(preemption.Victim(job, place, loss))
             if halting:
@@ -879,11 +883,19 @@
                 spare[option] = spare.get(option, 0) + 1
         for option, count in self.renting.items():
             cpus += self.types[option.type].cpus * count
+        held = sum(p.spec.cpus * len(p.open) for p in self.jobs.values() if p.spec.priority >= URGENT)
         work = sum(n.tasks * n.cpus * n.run_s for n in needs)
         busy = work / cpus if cpus else (1e9 if work else 0.0)
         refused = frozenset(o for o, until in self.refused.items() if until > now)
         for rental in fleet.wanted(
-            needs, self.types, spare, refused, busy, self.policy.ordinary_after_s, self.policy.patience_s
+            needs,
+            self.types,
+            spare,
+            refused,
+            busy,
+            self.policy.ordinary_after_s,
+            self.policy.patience_s,
+            cpus - held,
         ):
             option = rental.option
             self.renting[option] = self.renting.get(option, 0) + rental.count
--- a/bayford/scheduling/fleet.py
+++ b/bayford/scheduling/fleet.py
@@ -60,12 +60,14 @@
     busy_s: float,
     ordinary_after_s: float,
     patience_s: float,
+    yielding_cpus: float,
 ) -> list[Rental]:
     """What to rent for `needs`.
 
     `spare` counts machines that are coming up, by kind; they serve needs first. `busy_s` is how long the
     present fleet needs for its backlog: work that the fleet clears within `patience_s` waits for it, and
-    dearer ordinary machines are taken only when the backlog exceeds `ordinary_after_s` or for urgent work.
+    dearer ordinary machines are taken only when the backlog exceeds `ordinary_after_s` or for urgent work
+    that neither the `yielding_cpus` (held by work that it may push out, or on their way) can serve.
     """
     coming = dict(spare)
     ask: dict[Option, tuple[int, str]] = {}
@@ -82,13 +84,18 @@
                     break
         if left <= 0 or (not need.urgent and busy_s < patience_s):
             continue
+        dear = busy_s >= ordinary_after_s
+        if need.urgent:
+            yielded = min(left * need.cpus, yielding_cpus)
+            yielding_cpus -= yielded
+            dear = dear or left * need.cpus > yielded + EPS
         choices = []
         for option in need.options - refused:
             kind = types[option.type]
             per = slots(kind, need.cpus, need.gpus, need.mem_gb)
             if not per:
                 continue
-            if not option.spot and not need.urgent and busy_s < ordinary_after_s:
+            if not (option.spot or dear):
                 continue
             rate = kind.spot_price if option.spot else kind.price
             choices.append((rate / per * (1.0 + kind.boot_s / (MIN_CHARGE_S * 4)), option, per))
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -11,7 +11,7 @@
     guarantee_first: bool = True
     preempt_per_round: int = 16
     guarantee_wait_s: float = 60.0
-    ordinary_after_s: float = 60.0
+    ordinary_after_s: float = 1e9
     patience_s: float = 2.0
     refused_s: float = 20.0
     keep_idle_s: float = 30.0
