--- a/bayford/cli.py
+++ b/bayford/cli.py
@@ -34,7 +34,7 @@
     # Imported here: `check-config` and `--help` need none of it.
     from bayford.coordination.controller import Controller
     from bayford.coordination.engine import Engine
-    from bayford.protocol import mesh
+    from bayford.protocol import mesh, workers
     from bayford.protocol.cloud_api import CloudApi
     from bayford.protocol.state_api import StateApi
     from bayford.scheduling.policy import Policy
@@ -64,6 +64,23 @@
 
         return ask
 
+    def commander():  # type: ignore[no-untyped-def]
+        clients: dict[str, Client] = {}
+
+        def command(address: str, body: bytes) -> bytes | None:
+            client = clients.get(address)
+            if client is None:
+                if len(clients) > 500:
+                    clients.clear()
+                client = clients[address] = Client(*split_address(address), most_idle=1, connect_s=0.7)
+            try:
+                status, answer = client.call("POST", workers.COMMANDS_PATH, body, 1.5)
+            except (Unavailable, Unknown):
+                return None
+            return answer if status in (200, 409) else None
+
+        return command
+
     controller = Controller(
         settings,
         engine,
@@ -71,6 +88,7 @@
         CloudApi(cloud.call),
         incarnation,
         {peer.member: asker(peer.endpoint) for peer in settings.seeds},
+        commander(),
     )
     most = max(32, min(600, settings.facts.machine_limits.fd_limit // 2))
     front = Server(*split_address(settings.front), Front(controller, Limit()).handle, most, "front")
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -25,6 +25,7 @@
 RETRY_S = 1
 USER_WAIT_S = 1.2  # users give up on a poll after 2 s
 GATE_WAIT_S = 1.0
+COMMANDERS = 3
 
 
 class Controller:
@@ -38,6 +39,7 @@
         cloud: Cloud,
         incarnation: str,
         peers: dict[str, Callable[[float], mesh.Status | None]],
+        command: Callable[[str, bytes], bytes | None] = lambda address, body: None,
         clock: Callable[[], float] = time.monotonic,
         wall: Callable[[], float] = time.time,
         pause: Callable[[threading.Event, float], object] = threading.Event.wait,
@@ -45,6 +47,8 @@
     ) -> None:
         """`pause` waits for an event; the stories in tests/ pass one that moves their clock instead."""
         self._pause = pause
+        self._command = command
+        self._halts: queue.Queue[int] = queue.Queue(1000)
         self.settings = settings
         self.engine = engine
         self.store = store
@@ -74,6 +78,7 @@
         self._last_state_ok = clock()
         engine.read_record = self._read_record
         engine.on_ready = self._on_ready
+        engine.on_halt = self._on_halt
 
     # -- hooks -----------------------------------------------------------------------------------------
 
@@ -86,6 +91,13 @@
         if event is not None:
             event.set()
 
+    def _on_halt(self, machine: int) -> None:
+        self._on_ready(machine)
+        try:
+            self._halts.put_nowait(machine)
+        except queue.Full:
+            pass  # the answer to the machine's next report carries it as well
+
     def _on_rows(self, rows: list[Row]) -> None:
         touched: dict[str, Row] = {}
         for row in rows:
@@ -127,6 +139,7 @@
             ("delete", self._delete_step),
             ("catalog", self._catalog_step),
             ("peers", self._peer_step),
+            *((f"command{n}", self._command_step) for n in range(COMMANDERS)),
         ]
         for name, step in loops:
             threading.Thread(target=self._loop, args=(name, step), name=name, daemon=True).start()
@@ -315,6 +328,21 @@
         self._kick.set()
         return True
 
+    def _command_step(self) -> float:
+        """Tell a machine directly to stop tasks that urgent work waits for."""
+        index = self._halts.get()
+        found = self.engine.halts_for(index)
+        if found is None:
+            return 0.0
+        address, session, halts = found
+        body = self._command(address, workers.commands(self.membership.view.token, session, halts))
+        if body is not None:
+            # Its report as of now. It settles no answer of ours that is still on its way, so `after`,
+            # which closes unstarted placements, is not claimed.
+            self.engine.on_report(workers.parse_report(body))
+            self._kick.set()
+        return 0.0
+
     def _catalog_step(self) -> float:
         types = self.cloud.catalog()
         first = not self.engine.types
--- a/bayford/coordination/engine.py
+++ b/bayford/coordination/engine.py
@@ -93,8 +93,16 @@
         self.types: list[MachineType] = []
         self.value_bytes = int(facts.state.value_kb * 1024)
         self.estimates = estimate.Estimates()
-        self.on_ready: Callable[[int], None] = lambda machine: None  # called under the lock: keep it short
+        # Called under the lock, so they must be short and take no lock of ours.
+        self.on_ready: Callable[[int], None] = lambda machine: None
+        self.on_halt: Callable[[int], None] = lambda machine: None
         self.refused: dict[fleet.Option, float] = {}
+        # When the users want a class done: the aims of the settings, for jobs without a deadline.
+        self.targets = {
+            o.job_class: o.within_s
+            for o in facts.objectives
+            if o.kind == "finished" and o.job_class is not None and o.within_s is not None
+        }
         self._clear()
 
     def _clear(self) -> None:
@@ -112,6 +120,7 @@
         self.last_report = -1e18
         self.owner_since = 0.0
         self.renting: dict[fleet.Option, int] = {}
+        self.urgent_jobs: list[tuple[float, float]] = []  # when accepted, CPUs
         self.refusals = 0
         self.starts = 0
 
@@ -329,7 +338,7 @@
         log.info("job %s cancelled, %d tasks to stop", job.spec.id, len(job.open))
         for place in job.open.values():
             place.halting, place.halt_grace = True, 0.0
-            self.on_ready(place.machine)
+            self.on_halt(place.machine)
 
     def _retire(self, job: Job, versions: Versions) -> None:
         """Forget a job whose final record is durable; the mirror keeps that for its users."""
@@ -347,6 +356,9 @@
             if job is None:
                 self._load(record, row.stamp, self.clock())
                 if record.spec.id in self.jobs:
+                    spec = record.spec
+                    if spec.priority >= URGENT:
+                        self.urgent_jobs = self.urgent_jobs[-20:] + [(self.clock(), spec.cpus * spec.tasks)]
                     log.info("job %s accepted: %d tasks", record.spec.id, record.spec.tasks)
                 return
             versions = self.versions[record.spec.id]
@@ -370,7 +382,8 @@
             machine = self._machine(report.machine, now)
             order = (report.session, report.tick)
             if order <= (machine.session, machine.tick) and machine.reported:
-                return None
+                # Overtaken, by an answer of /commands perhaps: it tells nothing, but it can be answered.
+                return machine.index if report.session == machine.session else None
             self.last_report = now
             if report.session > machine.session:
                 self._new_session(machine, report.session, now)
@@ -577,6 +590,24 @@
                 self.starts += 1
             return orders, gated
 
+    def halts_for(self, index: int) -> tuple[str, int, list[workers.Order]] | None:
+        """Address, session and the halts that are worth a direct command to this machine now.
+
+        Only halts go that way: a copy that comes late stops an attempt that was to stop anyway.
+        """
+        with self.lock:
+            machine = self.machines.get(index)
+            if machine is None or not self.owner or not machine.address:
+                return None
+            halts: list[workers.Order] = [
+                workers.Halt(part, attempt, place.halt_grace)
+                for (part, attempt), place in machine.open.items()
+                if place.halting and place.started and not place.halt_sent
+            ]
+            for place in machine.open.values():
+                place.halt_sent = place.halt_sent or place.halting
+            return (machine.address, machine.session, halts) if halts else None
+
     def hold_s(self, index: int) -> float:
         """How long it pays to keep this machine's report, waiting for work to answer it with.
 
@@ -710,7 +741,7 @@
                     victim.place.halt_grace = (
                         victim.job.spec.save_s * 1.5 if victim.job.spec.checkpoint_s else 0
                     )
-                    self.on_ready(victim.place.machine)
+                    self.on_halt(victim.place.machine)
                     budget -= 1
                 log.info(
                     "job %s waits: stopping %s", job.spec.id,
@@ -743,8 +774,15 @@
             if halting:
                 continue
             got = preemption.victims_on(machine, waiting, found, 4)
-            if got is not None and (best is None or got[1] < best[0]):
-                best = (got[1], got[0])
+            if got is None:
+                continue
+            cost = got[1]
+            if not machine.images.get(waiting.image) and machine.type is not None:
+                # The waiting task would first fetch its image there.
+                fetch = waiting.spec.image_gb / max(self.types[machine.type].fetch_gb_per_s, 0.01)
+                cost += fetch * waiting.spec.cpus * self.policy.fetch_weight
+            if best is None or cost < best[0]:
+                best = (cost, got[0])
         return best[1] if best else None
 
     def _drain(self, machine: Machine, now: float) -> None:
@@ -836,6 +874,8 @@
     def _needs(self, now: float) -> list[fleet.Need]:
         needs = []
         room = {n: s.cpus_max - s.used_cpus for n, s in enumerate(self.shares)}
+        cpus = max(1.0, sum(m.cpus for m in self.machines.values() if not m.deleting))
+        ahead = 0.0
         for _, job, count in self._queue(now):
             if job.spec.cpus > 0:
                 count = min(count, int((room[job.team] + EPS) / job.spec.cpus))
@@ -856,7 +896,13 @@
                     if job.spec.spot:
                         options.add(fleet.Option(index, zone, True))
             run = self.expected(job)
-            late = job.spec.deadline_s is not None and now - job.created + run > job.spec.deadline_s
+            ahead += count * job.spec.cpus * run
+            target = job.spec.deadline_s or self.targets.get(job.spec.job_class)
+            late = False
+            if target is not None:
+                ends = now - job.created + ahead / cpus + run
+                # Dear machines only where they can still make the difference.
+                late = ends > self.policy.target_margin * target and now - job.created + run < target
             needs.append(
                 fleet.Need(
                     frozenset(options),
@@ -937,6 +983,7 @@
         # Right after a takeover the workers may still be answered by the deposed owner, who can't know
         # yet if the state service refuses only it; it stops by itself at this bound.
         unheard = max(silent, self.unverified_limit() + 3.0)
+        spare = sum(m.cpus for m in self.machines.values() if m.usable and not m.open)
         urgent_cancel: set[int] = set()
         for job in self.jobs.values():
             if job.cancelled and now - job.cancelled_at > 0.5 * facts.cancel_s:
@@ -957,8 +1004,9 @@
                     why = "quarantined"
                 elif machine.notice is not None and not machine.open:
                     why = "to be taken by the cloud, empty"
-                elif not machine.open and self._idle(machine, now, needs):
+                elif not machine.open and self._idle(machine, now, needs, spare):
                     why = "idle"
+                    spare -= machine.cpus
             else:
                 boot = self.types[machine.type].boot_s if machine.type is not None else 60.0
                 if machine.missing >= 3 or machine.quarantined:
@@ -970,19 +1018,19 @@
                 step.deletions.append((machine.name, why))
                 log.info("deleting machine %s: %s, %d tasks there", machine.name, why, len(machine.open))
 
-    def _idle(self, machine: Machine, now: float, needs: list[fleet.Need]) -> bool:
+    def _idle(self, machine: Machine, now: float, needs: list[fleet.Need], spare: float) -> bool:
         if machine.type is None or machine.idle_since <= 0:
             return False
-        kind = self.types[machine.type]
+        keep = self.policy.keep_idle_s if spare <= self.reserve(now) else self.policy.surplus_idle_s
         return fleet.should_return(
-            now - machine.idle_since,
-            now - machine.rented,
-            kind.boot_s,
-            not machine.spot,
-            bool(needs),
-            self.policy.keep_idle_s,
+            now - machine.idle_since, now - machine.rented, not machine.spot, bool(needs), keep
         )
 
+    def reserve(self, now: float) -> float:
+        """CPUs worth keeping idle for the next urgent job: the size of those that came lately."""
+        recent = [cpus for at, cpus in self.urgent_jobs if now - at < self.policy.reserve_memory_s]
+        return self.policy.reserve * sum(recent) / len(recent) if recent else 0.0
+
     def deleted(self, names: Iterable[str]) -> None:
         """The cloud has confirmed (200): the machines and everything on them are gone."""
         with self.lock:
--- a/bayford/protocol/workers.py
+++ b/bayford/protocol/workers.py
@@ -6,6 +6,7 @@
 from bayford.protocol.jobs import Invalid
 
 REPORT_PATH = "/v1/report"
+COMMANDS_PATH = "/commands"
 FULL, BUSY, UNKNOWN = "full", "busy", "unknown"
 DONE, HALTED, ERROR = "done", "halted", "error"
 FETCHING, RUNNING, SAVING, ENDED = "pulling", "running", "flushing", "ended"
@@ -78,6 +79,17 @@
     return report
 
 
+class _Commands(msgspec.Struct):
+    baton: int
+    shift: int
+    orders: list[Order]
+
+
+def commands(token: int, session: int, orders: list[Order]) -> bytes:
+    """The body of direct commands."""
+    return _encoder.encode(_Commands(token, session, orders))
+
+
 class _Answer(msgspec.Struct):
     baton: int
     orders: list[Order]
--- a/bayford/scheduling/fleet.py
+++ b/bayford/scheduling/fleet.py
@@ -84,7 +84,7 @@
                     break
         if left <= 0 or (not need.urgent and busy_s < patience_s):
             continue
-        dear = busy_s >= ordinary_after_s
+        dear = busy_s >= ordinary_after_s or need.late
         if need.urgent:
             yielded = min(left * need.cpus, yielding_cpus)
             yielding_cpus -= yielded
@@ -108,11 +108,8 @@
     return [Rental(option, min(50, count), why) for option, (count, why) in ask.items()]
 
 
-def should_return(
-    idle_s: float, age_s: float, boot_s: float, ordinary: bool, waiting: bool, keep_s: float
-) -> bool:
+def should_return(idle_s: float, age_s: float, ordinary: bool, waiting: bool, keep_s: float) -> bool:
     """Whether an idle machine goes back. Below the minimum charge, keeping it costs nothing."""
     if waiting or age_s < MIN_CHARGE_S:
         return False
-    patience = keep_s * (0.4 if ordinary else 1.0)
-    return idle_s > max(patience, boot_s * 0.25)
+    return idle_s > keep_s * (0.4 if ordinary else 1.0)
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -100,6 +100,7 @@
     fetching: bool = False
     halting: bool = False
     halt_grace: float = 0.0
+    halt_sent: bool = False  # by a direct command
     placed_at: float = 0.0
 
 
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -15,6 +15,11 @@
     patience_s: float = 2.0
     refused_s: float = 20.0
     keep_idle_s: float = 30.0
+    surplus_idle_s: float = 8.0
+    reserve: float = 1.0
+    reserve_memory_s: float = 90.0
+    target_margin: float = 1.0
+    fetch_weight: float = 2.0
     job_fault_machines: int = 3
     hold_s: float = 0.5
     hold_idle_s: float = 1.5
