--- a/bayford/coordination/engine.py
+++ b/bayford/coordination/engine.py
@@ -16,7 +16,18 @@
 from bayford.coordination import estimate
 from bayford.protocol import workers
 from bayford.scheduling import fleet, placement, preemption
-from bayford.scheduling.model import EPS, URGENT, Job, Machine, MachineType, Names, Placement
+from bayford.scheduling.model import (
+    EPS,
+    GANG,
+    SERVICE,
+    SERVICE_RUN_S,
+    URGENT,
+    Job,
+    Machine,
+    MachineType,
+    Names,
+    Placement,
+)
 from bayford.scheduling.policy import Policy
 from bayford.scheduling.quota import Share
 from bayford.storage import records
@@ -486,7 +497,7 @@
         now: float,
     ) -> None:
         self._close(machine, key, place, job, now)
-        if state.why == workers.DONE:
+        if state.why == workers.DONE and job.spec.shape != SERVICE:
             job.done.add(place.task)
             machine.images[job.image] = True
             machine.good += 1
@@ -500,7 +511,13 @@
         if job.cancelled:
             return
         job.requeue(place.task)
-        if state.why == workers.HALTED:
+        if job.spec.shape == GANG:
+            # One task down, the gang is down: stop the others, so that all can come together again.
+            for other in job.open.values():
+                if not other.halting:
+                    other.halting, other.halt_grace = True, job.spec.save_s * 1.5
+                    self.on_halt(other.machine)
+        if state.why in (workers.HALTED, workers.PEERS, workers.ALONE):
             return
         if state.why == workers.FULL:
             # The late picture was wrong; wait for a newer report before trying this machine again.
@@ -656,6 +673,8 @@
                 continue
             share = self.shares[job.team]
             room = share.room(job.spec)
+            if job.spec.shape == GANG and (job.open or room < len(job.waiting)):
+                room = 0  # all together or not at all
             if room <= 0:
                 job.why_waiting = "team limit"
                 continue
@@ -671,6 +690,8 @@
 
     def expected(self, job: Job) -> float:
         """Expected run time of one task, corrected by what has been seen of the class."""
+        if job.spec.shape == SERVICE:
+            return SERVICE_RUN_S
         return self.estimates.expected(job.job_class, job.spec.estimate_s)
 
     def _zone(self, machine: int) -> int | None:
@@ -688,6 +709,9 @@
             return
         machines = placement.candidates(job, roomy, counts, now)
         share = self.shares[job.team]
+        if job.spec.shape == GANG:
+            self._place_gang(job, machines, now)
+            return
         placed = 0
         limit = max(1, (self.value_bytes * (self.settings.facts.state.txn_ops - 2)) // 40)
         while job.waiting and placed < count and share.allows(job.spec) and len(job.open) < limit:
@@ -696,12 +720,7 @@
             if machine is None:
                 job.why_waiting = "no room on an allowed machine"
                 break
-            job.waiting.pop()
-            attempt = job.next_attempt
-            job.next_attempt += 1
-            place = Placement(task, attempt, machine.index, machine.session, placed_at=now)
-            self._book(job, machine, place)
-            machine.images.setdefault(job.image, False)
+            self._put(job, job.waiting.pop(), machine, now)
             placed += 1
             if job.spec.one_zone or job.spec.spread:
                 counts = placement.zones_open(job, self._zone)
@@ -710,6 +729,25 @@
             self._touch(job, urgent=job.spec.priority >= URGENT)
             log.debug("job %s: placed %d, %d wait", job.spec.id, placed, len(job.waiting))
 
+    def _put(self, job: Job, task: int, machine: Machine, now: float) -> None:
+        place = Placement(task, job.next_attempt, machine.index, machine.session, placed_at=now)
+        job.next_attempt += 1
+        self._book(job, machine, place)
+        machine.images.setdefault(job.image, False)
+
+    def _place_gang(self, job: Job, machines: list[Machine], now: float) -> None:
+        """All waiting tasks of a gang at once, in one transaction, or none."""
+        picks = placement.choose_gang(job, machines, len(job.waiting))
+        if picks is None:
+            job.why_waiting = "no room for the whole gang"
+            return
+        # One attempt number for the whole gang: its tasks come together by it.
+        attempt = job.next_attempt
+        for machine in picks:
+            job.next_attempt = attempt
+            self._put(job, job.waiting.pop(), machine, now)
+        self._touch(job, urgent=job.spec.priority >= URGENT)
+
     def _preempt(self, queue: list[Job], now: float) -> None:
         """Stop the cheapest tasks for waiting work that PROTOCOL lets push them out."""
         budget = self.policy.preempt_per_round
--- a/bayford/protocol/jobs.py
+++ b/bayford/protocol/jobs.py
@@ -8,7 +8,7 @@
 import msgspec
 import orjson
 
-from bayford.scheduling.model import JobSpec
+from bayford.scheduling.model import ARRAY, GANG, SERVICE, JobSpec
 from bayford.storage.records import Record
 
 MAX_TASKS = 100_000
@@ -18,6 +18,9 @@
 CANCEL = "cancel"
 HEALTH_PATH = "/up"
 
+# The page describes `batch` alone; the other two are named by the users' wire file and tried by their
+# loopback check (docs/questions.md).
+_SHAPES = {"batch": ARRAY, "gang": GANG, "daemon": SERVICE}
 _RANKS = {"idle": 0, "normal": 1, "urgent": 2, "critical": 3}
 
 
@@ -86,7 +89,7 @@
         raise Invalid(str(bad)) from bad
     if job_id(got.id) is None:
         raise Invalid("`$.id`: not a job id")
-    if got.shape != "batch":
+    if got.shape not in _SHAPES:
         raise Invalid(f"`$.shape`: unknown shape {got.shape[:40]!r}")
     if got.rank not in _RANKS:
         raise Invalid(f"`$.rank`: unknown rank {got.rank[:40]!r}")
@@ -123,6 +126,7 @@
         got.bookmark_s,
         got.stash_s,
         got.due_s,
+        _SHAPES[got.shape],
     )
 
 
--- a/bayford/protocol/workers.py
+++ b/bayford/protocol/workers.py
@@ -9,7 +9,8 @@
 COMMANDS_PATH = "/commands"
 FULL, BUSY, UNKNOWN = "full", "busy", "unknown"
 DONE, HALTED, ERROR = "done", "halted", "error"
-FETCHING, RUNNING, SAVING, ENDED = "pulling", "running", "flushing", "ended"
+PEERS, ALONE = "mates_gone", "incomplete"  # a gang that lost a task, or never came together
+FETCHING, GATHERING, RUNNING, SAVING, ENDED = "pulling", "gathering", "running", "flushing", "ended"
 
 
 class TaskState(msgspec.Struct):
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -10,6 +10,8 @@
 import msgspec
 
 PRIORITIES = ("idle", "normal", "urgent", "critical")
+ARRAY, GANG, SERVICE = "array", "gang", "service"
+SERVICE_RUN_S = 600.0  # what a service counts for in a backlog: it runs until it is cancelled
 URGENT = PRIORITIES.index("urgent")
 EPS = 1e-6
 
@@ -64,6 +66,7 @@
     checkpoint_s: float
     save_s: float
     deadline_s: float | None
+    shape: str = ARRAY
 
 
 class MachineType(msgspec.Struct, frozen=True):
--- a/bayford/scheduling/placement.py
+++ b/bayford/scheduling/placement.py
@@ -66,3 +66,26 @@
         if best is None or s < best_score:
             best, best_score = m, s
     return best
+
+
+def choose_gang(job: Job, machines: Sequence[Machine], count: int) -> list[Machine] | None:
+    """Machines for `count` tasks at once, zone rules kept among them, or None. Books nothing."""
+    zones = sorted({m.zone for m in machines if m.zone is not None})
+    groups = [[m for m in machines if m.zone == z] for z in zones] if job.spec.one_zone else [list(machines)]
+    for group in groups:
+        picks: list[Machine] = []
+        counts: dict[int, int] = {}
+        for _ in range(count):
+            allowed = [m for m in group if m.zone is not None and zone_allowed(job, m.zone, counts)]
+            machine = choose(job, allowed)
+            if machine is None:
+                break
+            machine.take(job.spec)
+            picks.append(machine)
+            zone = machine.zone if machine.zone is not None else -1
+            counts[zone] = counts.get(zone, 0) + 1
+        for machine in picks:
+            machine.give(job.spec)
+        if len(picks) == count:
+            return picks
+    return None
--- a/bayford/scheduling/quota.py
+++ b/bayford/scheduling/quota.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from bayford.scheduling.model import EPS, JobSpec
+from bayford.scheduling.model import ARRAY, EPS, JobSpec
 
 
 @dataclass(slots=True)
@@ -40,8 +40,9 @@
         )
 
     def could_ever(self, spec: JobSpec) -> bool:
-        """Whether one task alone stays within the limit."""
-        return spec.cpus <= self.cpus_max + EPS and spec.gpus <= self.gpus_max + EPS
+        """Whether the limit can ever hold the job: one task of an array, all of anything else."""
+        count = 1 if spec.shape == ARRAY else spec.tasks
+        return spec.cpus * count <= self.cpus_max + EPS and spec.gpus * count <= self.gpus_max + EPS
 
     def room(self, spec: JobSpec) -> int:
         """How many more such tasks the limit allows."""
@@ -63,5 +64,5 @@
 
 
 def never_fits(shares: Sequence[Share], team: int, spec: JobSpec) -> bool:
-    """A job of which not even one task can run within the team's limit."""
+    """A job that the team's limit can never hold."""
     return not shares[team].could_ever(spec)
