--- a/bayford/cli.py
+++ b/bayford/cli.py
@@ -11,6 +11,7 @@
 
 from bayford import __version__
 from bayford.config import Settings, SettingsError, load, split_address
+from bayford.scheduling.policy import Policy
 
 log = logging.getLogger("bayford")
 
@@ -29,7 +30,7 @@
     return None if word in LEVELS else f"LOG_LEVEL {word!r} is not one of {', '.join(LEVELS)}; using info"
 
 
-def serve(settings: Settings) -> None:
+def serve(settings: Settings, policy: Policy) -> None:
     """Run this controller until it is killed."""
     # Imported here: `check-config` and `--help` need none of it.
     from bayford.coordination.controller import Controller
@@ -37,7 +38,6 @@
     from bayford.protocol import mesh, workers
     from bayford.protocol.cloud_api import CloudApi
     from bayford.protocol.state_api import StateApi
-    from bayford.scheduling.policy import Policy
     from bayford.storage.store import Unavailable, Unknown
     from bayford.transport.client import Client
     from bayford.transport.front import Front, Mesh
@@ -50,7 +50,7 @@
     state = Client(*split_address(settings.outside.state))
     cloud = Client(*split_address(settings.outside.cloud), most_idle=3)
     rng = random.Random(incarnation)
-    engine = Engine(settings, Policy(), time.monotonic, time.time, rng)
+    engine = Engine(settings, policy, time.monotonic, time.time, rng)
 
     def asker(endpoint: str):  # type: ignore[no-untyped-def]
         client = Client(*split_address(endpoint), most_idle=2, connect_s=0.8)
@@ -111,6 +111,7 @@
     ):
         sub = verbs.add_parser(verb, help=text, description=text)
         sub.add_argument("--config", required=True, metavar="FILE", help="settings file (TOML)")
+        sub.add_argument("--script", metavar="FILE", help="the operators' script (Starlark)")
     return top
 
 
@@ -125,11 +126,20 @@
     except SettingsError as bad:
         print(f"bayford: {args.config}: {bad}", file=sys.stderr)
         return 2
+    policy = Policy()
+    if args.script:
+        from bayford import script  # only who has a script pays for the interpreter
+
+        try:
+            policy = script.load(args.script, settings)
+        except SettingsError as bad:
+            print(f"bayford: {bad}", file=sys.stderr)
+            return 2
     if args.verb == "check-config":
         print(
             f"{args.config}: good; {len(settings.seeds) + 1} controllers, {len(settings.facts.teams)} teams"
         )
         return 0
     faulthandler.enable()
-    serve(settings)
+    serve(settings, policy)
     return 0
--- a/bayford/coordination/engine.py
+++ b/bayford/coordination/engine.py
@@ -15,7 +15,7 @@
 from bayford.config import Settings
 from bayford.coordination import estimate
 from bayford.protocol import workers
-from bayford.scheduling import fleet, placement, preemption
+from bayford.scheduling import fleet, placement, preemption, tempered
 from bayford.scheduling.model import (
     EPS,
     GANG,
@@ -134,6 +134,8 @@
         self.urgent_jobs: list[tuple[float, float]] = []  # when accepted, CPUs
         self.refusals = 0
         self.starts = 0
+        self.balanced_at = -1e18
+        self.moves = 0
 
     # -- ownership -------------------------------------------------------------------------------------
 
@@ -660,6 +662,9 @@
             for _, job, count in queue:
                 self._place(job, count, roomy, now)
             self._preempt([job for _, job, _ in queue], now)
+            if now - self.balanced_at >= self.policy.balance_every_s:
+                self.balanced_at = now
+                self._balance([job for _, job, _ in queue], now)
 
     def _queue(self, now: float) -> list[tuple[tuple[float, ...], Job, int]]:
         """Jobs with waiting tasks in the order of service.
@@ -823,6 +828,87 @@
                 best = (cost, got[0])
         return best[1] if best else None
 
+    def _balance(self, queue: list[Job], now: float) -> None:
+        """The paper's balancer: move running tasks off a machine to free the room that a waiting task
+        needs there, when it fits on no machine. Moves are stops with a hint where to go on."""
+        running = sum(len(m.open) for m in self.machines.values())
+        left = tempered.budget(running, self.policy.balance_share)
+        freeing = any(p.halting for m in self.machines.values() for p in m.open.values())
+        for job in queue:
+            if left <= 0 or freeing:
+                return
+            if not job.waiting or job.spec.shape == GANG or job.not_before > now:
+                continue
+            if not self.shares[job.team].allows(job.spec):
+                continue
+            plan = self._plan(job, left, now)
+            if plan is None:
+                continue
+            for move in plan.moves:
+                moved = self._job_of(move.key)
+                place = self.machines[plan.source].open[move.key]
+                place.halting, place.halt_grace = True, moved.spec.save_s * 1.5
+                moved.hints[place.task] = move.target
+                self.on_halt(plan.source)
+            left -= len(plan.moves)
+            self.moves += len(plan.moves)
+            log.info(
+                "job %s fits nowhere: moving %s off %s (imbalance then %.2f)", job.spec.id,
+                [m.key[0] for m in plan.moves], self.machines_by[plan.source], plan.imbalance,
+            )  # fmt: skip
+
+    def _plan(self, job: Job, moves: int, now: float) -> tempered.Plan | None:
+        spec = job.spec
+        counts = placement.zones_open(job, self._zone)
+        usable = [m for m in self.machines.values() if m.usable and not m.relay]
+        allowed = placement.candidates(job, usable, counts, now)
+        if any(m.has_room(spec) for m in allowed):
+            return None  # it fits as it is and is about to be placed
+        hosts = {m.index: self._host(m) for m in usable}
+        need = (spec.cpus, spec.gpus, spec.mem_gb)
+        sources = []
+        for machine in allowed:
+            host = hosts[machine.index]
+            room = host.free
+            for item in host.items:
+                room = tempered.add(room, item.need)
+            if host.items and tempered.fits(need, room):
+                sources.append((spec.cpus - machine.free_cpus, machine.index))
+        best: tempered.Plan | None = None
+        counts_ = tempered.Counts(self.policy.balance_trials, self.policy.balance_iterations, moves)
+        for _, index in sorted(sources)[: self.policy.balance_sources]:
+            plan = tempered.free_room(list(hosts.values()), index, need, counts_, self._may_move, self.rng)
+            if plan is not None and (best is None or plan.imbalance < best.imbalance):
+                best = plan
+        return best
+
+    def _host(self, machine: Machine) -> tempered.Host:
+        items = []
+        for key, place in machine.open.items():
+            spec = self._job_of(key).spec
+            movable = spec.shape == SERVICE or (spec.checkpoint_s > 0 and spec.shape != GANG)
+            if movable and place.running_since is not None and not place.halting:
+                items.append(tempered.Item(key, (spec.cpus, spec.gpus, spec.mem_gb)))
+        free = (machine.free_cpus, machine.free_gpus, machine.free_mem)
+        return tempered.Host(machine.index, machine.cpus, free, items)
+
+    def _may_move(self, key: Key, target: int) -> bool:
+        """Whether the task's job allows the target, the task itself gone from where it is."""
+        job, machine = self._job_of(key), self.machines[target]
+        task = (workers.split_task(key[0]) or ("", 0))[1]
+        here = self._zone(job.open[task].machine)
+        counts = placement.zones_open(job, self._zone)
+        if here is not None:
+            counts[here] -= 1
+            if not counts[here]:
+                del counts[here]
+        return (
+            machine.zone is not None
+            and machine.index not in job.failed_on
+            and placement.type_allowed(job, machine)
+            and placement.zone_allowed(job, machine.zone, counts)
+        )
+
     def _drain(self, machine: Machine, now: float) -> None:
         """A spot notice: save what can be saved in time, give up early on what can't finish."""
         left = (machine.notice or now) - now
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -5,21 +5,33 @@
 
 @dataclass(frozen=True, slots=True)
 class Policy:
-    """Values that the operators' script may replace; see docs/operations.md."""
+    """Values that the operators' script may replace. `deploy/policy.star` says what each is for."""
 
+    # order of service
     aging_s: float = 60.0
     guarantee_first: bool = True
+    # preemption
     preempt_per_round: int = 16
     guarantee_wait_s: float = 60.0
+    fetch_weight: float = 2.0
+    # renting and returning
     ordinary_after_s: float = 1e9
+    target_margin: float = 1.0
     patience_s: float = 2.0
     refused_s: float = 20.0
     keep_idle_s: float = 30.0
     surplus_idle_s: float = 8.0
     reserve: float = 1.0
     reserve_memory_s: float = 90.0
-    target_margin: float = 1.0
-    fetch_weight: float = 2.0
+    # failing runs
     job_fault_machines: int = 3
+    # answers to reports
     hold_s: float = 0.5
     hold_idle_s: float = 1.5
+    # the balancer
+    balance_every_s: float = 1.0
+    balance_share: float = 0.02
+    balance_trials: int = 4
+    balance_iterations: int = 3
+    balance_sources: int = 3
+    summary_every_s: float = 30.0
--- /dev/null
+++ b/bayford/scheduling/tempered.py
@@ -0,0 +1,203 @@
+"""The paper's transfer stage (TemperedLB), turned to freeing room that a waiting task needs.
+
+"Optimizing Distributed Load Balancing for Workloads with Time-Varying Imbalance", sections IV-B and V; the
+names below are the paper's where it has one. What differs from it is in docs/design.md: the source is not
+an overloaded rank but a machine that a waiting task could use, its excess is the room that the task lacks
+there, and every resource must fit at the target. Pure: the random numbers are passed in.
+"""
+
+import random
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+
+from bayford.scheduling.model import EPS
+
+Room = tuple[float, float, float]  # cpus, gpus, mem_gb
+
+
+@dataclass(frozen=True, slots=True)
+class Item:
+    """A task that may move, with what it takes."""
+
+    key: tuple[str, int]
+    need: Room
+
+
+@dataclass(slots=True)
+class Host:
+    """A machine in the picture, as late as the picture is."""
+
+    index: int
+    cpus: float
+    free: Room
+    items: list[Item] = field(default_factory=list)
+
+    @property
+    def load(self) -> float:
+        """Booked share of the CPUs, the design's starting measure of load."""
+        return 1.0 - self.free[0] / self.cpus if self.cpus > 0 else 1.0
+
+    def share(self, item: Item) -> float:
+        """The load that the task is, or would be, here."""
+        return item.need[0] / self.cpus if self.cpus > 0 else 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """One task from the source to a target."""
+
+    key: tuple[str, int]
+    target: int
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """The transfers of the best trial, and the imbalance that they leave."""
+
+    source: int
+    moves: tuple[Move, ...]
+    imbalance: float
+
+
+@dataclass(frozen=True, slots=True)
+class Counts:
+    """How hard to try: the paper's n_trials and n_iters, and the round's budget of moves."""
+
+    trials: int = 4
+    iterations: int = 3
+    moves: int = 1
+
+
+Allowed = Callable[[tuple[str, int], int], bool]  # may this task run on that machine
+
+
+def add(a: Room, b: Room) -> Room:
+    """Component-wise sum."""
+    return (a[0] + b[0], a[1] + b[1], a[2] + b[2])
+
+
+def sub(a: Room, b: Room) -> Room:
+    """Component-wise difference."""
+    return (a[0] - b[0], a[1] - b[1], a[2] - b[2])
+
+
+def fits(need: Room, free: Room) -> bool:
+    """Whether every resource fits."""
+    return need[0] <= free[0] + EPS and need[1] <= free[1] + EPS and need[2] <= free[2] + EPS
+
+
+def imbalance(loads: Iterable[float]) -> float:
+    """Equation 1: highest load over average load, minus 1."""
+    found = list(loads)
+    average = sum(found) / len(found) if found else 0.0
+    return max(found) / average - 1.0 if average > 0 else 0.0
+
+
+def build_cmf(loads: Sequence[float]) -> list[float]:
+    """Algorithm 2, BUILDCMF, modified: cumulative mass by 1 - load/ls; empty if no target has any.
+
+    ls is the larger of the average and the highest known load, so that no weight is negative although the
+    relaxed criterion lets targets rise above the average.
+    """
+    if not loads:
+        return []
+    scale = max(sum(loads) / len(loads), max(loads))
+    weights = [1.0 - load / scale if scale > 0 else 1.0 for load in loads]
+    total = sum(weights)
+    if total <= EPS:
+        return []
+    out: list[float] = []
+    mass = 0.0
+    for weight in weights:
+        mass += weight / total
+        out.append(mass)
+    return out
+
+
+def sample(cmf: Sequence[float], rng: random.Random) -> int:
+    """The index that a uniform draw falls on."""
+    draw = rng.random() * cmf[-1]
+    for index, mass in enumerate(cmf):
+        if draw < mass:
+            return index
+    return len(cmf) - 1
+
+
+def criterion(load_there: float, source: float, target: float) -> bool:
+    """Algorithm 2, line 37, relaxed: the task's load is below the gap, so the higher load falls."""
+    return load_there < source - target - EPS
+
+
+def order_fewest(items: Sequence[Item], load: Callable[[Item], float], excess: float) -> list[Item]:
+    """Algorithm 5: first the smallest task that alone frees the excess, then the lighter ones by falling
+    load, then the heavier ones by rising load; without such a task all by falling load.
+
+    The paper's cutoff is strictly above the excess; a task of exactly the needed room frees it too, so
+    here it may be equal.
+    """
+    enough = [load(i) for i in items if load(i) >= excess - EPS]
+    if not enough:
+        return sorted(items, key=lambda i: (-load(i), i.key))
+    cutoff = min(enough)
+    light = sorted((i for i in items if load(i) <= cutoff + EPS), key=lambda i: (-load(i), i.key))
+    heavy = sorted((i for i in items if load(i) > cutoff + EPS), key=lambda i: (load(i), i.key))
+    return light + heavy
+
+
+def transfer(
+    source: Host, others: Sequence[Host], need: Room, budget: int, allowed: Allowed, rng: random.Random
+) -> list[Move]:
+    """Algorithm 2, TRANSFER, on hosts that it changes: until the room is there or the tasks are through."""
+    moves: list[Move] = []
+    excess = max(0.0, (need[0] - source.free[0]) / source.cpus) if source.cpus > 0 else 0.0
+    for item in order_fewest(source.items, source.share, excess):
+        if fits(need, source.free) or len(moves) >= budget:
+            break
+        cmf = build_cmf([host.load for host in others])  # recomputed: the loads have moved
+        if not cmf:
+            break
+        target = others[sample(cmf, rng)]
+        if (
+            criterion(target.share(item), source.load, target.load)
+            and fits(item.need, target.free)
+            and allowed(item.key, target.index)
+        ):
+            target.free = sub(target.free, item.need)
+            source.free = add(source.free, item.need)
+            source.items = [i for i in source.items if i is not item]
+            target.items = [*target.items, item]
+            moves.append(Move(item.key, target.index))
+    return moves
+
+
+def _copy(hosts: Iterable[Host]) -> list[Host]:
+    return [Host(h.index, h.cpus, h.free, h.items) for h in hosts]
+
+
+def free_room(
+    hosts: Sequence[Host], source: int, need: Room, counts: Counts, allowed: Allowed, rng: random.Random
+) -> Plan | None:
+    """Algorithm 3: several trials of iterations from the same state; the best imbalance of those that
+    free the room is the plan. None: no trial freed it."""
+    best: Plan | None = None
+    for _ in range(counts.trials):
+        trial = _copy(hosts)
+        here = next(h for h in trial if h.index == source)
+        others = [h for h in trial if h.index != source]
+        moves: list[Move] = []
+        for _ in range(counts.iterations):
+            moves += transfer(here, others, need, counts.moves - len(moves), allowed, rng)
+            if fits(need, here.free):
+                break
+        if moves and fits(need, here.free):
+            left = imbalance(h.load for h in trial)
+            if best is None or left < best.imbalance:
+                best = Plan(source, tuple(moves), left)
+    return best
+
+
+def budget(running: int, share: float) -> int:
+    """Moves per round: a share of the running tasks, rounded up, so one when few run and none when none
+    does."""
+    whole = int(running * share)
+    return whole + (1 if running * share > whole + EPS else 0)
--- /dev/null
+++ b/deploy/policy.star
@@ -0,0 +1,39 @@
+# The operators' script: scheduling settings in Starlark, read once when a controller starts.
+#
+# Every line below is a default, commented out. `site` holds this deployment's facts: member, zones, teams,
+# nodes, report_s, lease_s, cancel_s. Helpers of your own begin with an underscore. A mistake stops the
+# start with a message that names the line; a running service never reads this file again.
+
+# --- order of service
+# aging_s = 60.0             # after this long a waiting job counts as half its size
+# guarantee_first = True     # work within its team's guarantee goes before work that borrows
+
+# --- preemption
+# preempt_per_round = 16     # tasks stopped for waiting work in one round
+# guarantee_wait_s = 60.0    # how long work within a guarantee waits before it pushes out borrowed work
+# fetch_weight = 2.0         # how much a fetch counts against a machine when victims are chosen
+
+# --- renting and returning
+# ordinary_after_s = 1e9     # backlog, in seconds of the fleet, from which dear machines are rented anyhow
+# target_margin = 1.0        # dear machines are rented for work expected past this share of its aim
+# patience_s = 2.0           # a backlog shorter than this waits for the present fleet
+# refused_s = 20.0           # how long a refusal by the cloud is remembered
+# keep_idle_s = 30.0         # idle machines of the reserve go back after this
+# surplus_idle_s = 8.0       # others after this
+# reserve = 1.0              # the reserve, in mean CPUs of the urgent jobs that came lately
+# reserve_memory_s = 90.0    # what "lately" is
+
+# --- failing runs
+# job_fault_machines = 3     # a job that failed on so many machines, and ran on none, is itself at fault
+
+# --- answers to reports
+# hold_s = 0.5               # how long the report of a machine with some room is kept, awaiting work
+# hold_idle_s = 1.5          # the same for an empty machine (at most 3/4 of report_s)
+
+# --- the balancer (docs/design.md)
+# balance_every_s = 1.0      # a round this often at most
+# balance_share = 0.02       # of the running tasks are moved in a round, rounded up
+# balance_trials = 4         # trials, each of
+# balance_iterations = 3     # iterations
+# balance_sources = 3        # machines tried as the source for a waiting task
+# summary_every_s = 30.0     # a controller's summary goes to the state service this often
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,216 @@
+"""Validation, settings, script, limit, transport: the parts that the stories don't reach."""
+
+import json
+import random
+import socket
+import threading
+from pathlib import Path
+
+import orjson
+import pytest
+from world import SETTINGS, World
+
+from bayford import cli, config, script
+from bayford.protocol import jobs, mesh, workers
+from bayford.scheduling import fleet
+from bayford.scheduling.policy import Policy
+from bayford.storage import records
+from bayford.transport.limit import Limit
+from bayford.transport.server import Request, Response, Server
+
+GOOD = json.loads(World(1).job(1))
+TEXT = SETTINGS.format(name="n9", zone="north", writes=15.0, value_kb=8.0)
+
+
+def test_a_good_submission_survives_the_record():
+    spec = jobs.parse_submission(orjson.dumps(GOOD | {"builds": ["small"], "due_s": 9.5}))
+    record = records.Record(spec, 5.0, 0.0, 7, [0, 1], {"vm-1 3": [[1, 4]]})
+    for limit in (8192, 200):
+        rows = records.encode(record, limit)
+        assert all(len(orjson.dumps(v)) <= limit for _, v in rows)
+        assert records.decode(rows[0][1], [v for _, v in rows[1:]]) == record
+
+
+def test_done_tasks_with_many_gaps_go_into_a_bit_map():
+    spec = jobs.parse_submission(orjson.dumps(GOOD | {"parts": 100_000}))
+    done = set(random.Random(1).sample(range(100_000), 50_000))
+    record = records.Record(spec, 5.0, 0.0, 1, records.ranges(done), {})
+    rows = records.encode(record, 8192)
+    assert sum(len(orjson.dumps(v)) for _, v in rows) < 24_000
+    assert len(rows) <= 12, "one transaction"
+    assert records.unrange(records.decode(rows[0][1], [v for _, v in rows[1:]]).done) == done
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"id": "job 1"}, {"id": "../x"}, {"id": 7}, {"parts": 0}, {"parts": 100_001}, {"parts": 2.5},
+        {"parts": True}, {"cpus": -1.0}, {"cpus": "1"}, {"cpus": None}, {"rank": "top"}, {"shape": "tree"},
+        {"together": 1}, {"builds": "small"}, {"builds": [1]}, {"yard": 3}, {"bundle": ""}, {"crew": None},
+        {"due_s": -1.0}, {"guess_s": [1]}, {"mem_gb": 1e300},
+    ],
+)  # fmt: skip
+def test_every_field_is_checked(change):
+    with pytest.raises(jobs.Invalid):
+        jobs.parse_submission(orjson.dumps(GOOD | change))
+
+
+@pytest.mark.parametrize("field", [k for k in GOOD if k not in ("builds", "yard", "due_s")])
+def test_a_missing_field_is_malformed(field):
+    with pytest.raises(jobs.Invalid):
+        jobs.parse_submission(orjson.dumps({k: v for k, v in GOOD.items() if k != field}))
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"[]", b"7", b"{", b'{"id":"a","id":"b"}', b"\xff", b'{"cpus":NaN}', b"[" * 100_000]
+)
+def test_what_is_no_object_is_malformed(body):
+    with pytest.raises(jobs.Invalid):
+        jobs.parse_submission(body)
+
+
+def test_non_finite_numbers_and_duplicates_are_malformed():
+    text = orjson.dumps(GOOD).decode()
+    for bad in ('"cpus":1e999', '"cpus":Infinity', '"cpus":1.0,"cpus":1.0'):
+        with pytest.raises(jobs.Invalid):
+            jobs.parse_submission(text.replace('"cpus":1.0', bad).encode())
+
+
+def test_null_fields_may_be_absent_and_unknown_ones_are_ignored():
+    body = {k: v for k, v in GOOD.items() if k not in ("builds", "yard", "due_s")} | {"colour": "red"}
+    spec = jobs.parse_submission(orjson.dumps(body))
+    assert spec.types is None and spec.zone is None and spec.deadline_s is None
+
+
+def test_settings_name_the_field_at_fault(tmp_path, capsys):
+    assert config.parse(TEXT + "\n[extra]\nx = 1\n").member == "n9"
+    for old, new, field in (
+        ("lease_s = 12.0", "", "lease_s"),
+        ("lease_s = 12.0", 'lease_s = "x"', "lease_s"),
+        ('front = "127.0.0.1:1"', 'front = "nowhere"', "front"),
+        ("rps = 3.0", "rps = 0.0", "cloud.rps"),
+    ):
+        path = tmp_path / "s.toml"
+        path.write_text(TEXT.replace(old, new))
+        assert cli.main(["check-config", "--config", str(path)]) == 2
+        assert field in capsys.readouterr().err
+    assert cli.main(["check-config", "--config", str(tmp_path / "none.toml")]) == 2
+
+
+def test_the_script_sets_policy_and_its_errors_name_the_line(tmp_path):
+    settings = config.parse(TEXT)
+    text = "_n = len(site['zones'])\nif _n == 2:\n    aging_s = 7\npreempt_per_round = 2 * _n\n"
+    policy = script.evaluate(text, "p.star", settings)
+    assert policy == Policy(aging_s=7.0, preempt_per_round=4)
+    for bad, line in (
+        ("aging_s = 1\nagin_s = 2\n", "p.star:2"),
+        ("x = \n", "p.star:1"),
+        ("aging_s = 1 / 0\n", "p.star:1"),
+        ("load('os', 'x')\n", "p.star"),
+        ("aging_s = open('/etc/passwd')\n", "p.star:1"),
+        ("aging_s = 'long'\n", "aging_s"),
+        ("aging_s = -1.0\n", "aging_s"),
+        ("guarantee_first = 3\n", "guarantee_first"),
+    ):
+        with pytest.raises(config.SettingsError) as caught:
+            script.evaluate(bad, "p.star", settings)
+        assert line in str(caught.value)
+    path, star = tmp_path / "s.toml", tmp_path / "p.star"
+    path.write_text(TEXT)
+    star.write_text("aging_s = nothing\n")
+    assert cli.main(["check-config", "--config", str(path), "--script", str(star)]) == 2
+
+
+def test_the_shipped_script_documents_every_default():
+    shipped = (Path(__file__).parent.parent / "deploy" / "policy.star").read_text()
+    lines = [ln[2:] for ln in shipped.splitlines() if ln.startswith("# ") and " = " in ln]
+    text = "\n".join(ln.split("#")[0] for ln in lines)
+    assert script.evaluate(text, "p.star", config.parse(TEXT)) == Policy()
+    assert all(any(ln.startswith(f"{f} =") for ln in lines) for f in Policy.__slots__)
+
+
+def test_the_limit_falls_when_requests_get_slower_and_rises_again():
+    now = [0.0]
+    limit = Limit(start=32.0, window=20, clock=lambda: now[0])
+
+    def burst(seconds: float, count: int) -> None:
+        for _ in range(count):
+            waiting = [limit.enter() for _ in range(limit.limit)]
+            assert all(w.__enter__() for w in waiting)
+            with limit.enter() as entered:
+                assert not entered, "over the limit: refused at once"
+            now[0] += seconds
+            for w in waiting:
+                w.__exit__(None, None, None)
+
+    burst(0.03, 5)
+    fast = limit.limit
+    assert fast > 32
+    burst(0.5, 6)
+    slow = limit.limit
+    assert slow < fast / 2
+    burst(0.03, 8)
+    assert limit.limit > slow
+
+
+def test_fleet_prefers_spot_remembers_refusals_and_takes_dear_machines_only_in_need():
+    types = World(1).catalog()
+    spot, dear = fleet.Option(0, 0, True), fleet.Option(0, 0, False)
+    need = fleet.Need(frozenset({spot, dear}), 8, 1.0, 0.0, 1.0, 20.0, False, False)
+
+    def ask(need, refused=(), spare=None, yields=0.0, busy=50.0):
+        got = fleet.wanted([need], types, spare or {}, frozenset(refused), busy, 1e9, 2.0, yields)
+        return [(r.option, r.count) for r in got]
+
+    assert ask(need) == [(spot, 2)]
+    assert ask(need, spare={spot: 1}) == [(spot, 1)]
+    assert ask(need, busy=1.0) == []
+    assert ask(need, refused=[spot]) == []
+    late = fleet.Need(need.options, 8, 1.0, 0.0, 1.0, 20.0, False, True)
+    assert ask(late, refused=[spot]) == [(dear, 2)]
+    urgent = fleet.Need(need.options, 8, 1.0, 0.0, 1.0, 20.0, True, False)
+    assert ask(urgent, refused=[spot]) == [(dear, 2)]
+    assert ask(urgent, refused=[spot], yields=8.0) == [], "it may push out what yields"
+
+
+def test_a_report_survives_the_relay():
+    body = (
+        b'{"dock":"vm-1","addr":"1.2.3.4:5","build":"small","yard":"north","loaners":true,"shift":2,'
+        b'"tick":9,"baton":4,"recall_s":null,"new":1,'
+        b'"parts":[{"part":"req-1/3","try":2,"phase":"ended","cause":"done"}]}'
+    )
+    report = workers.parse_report(body)
+    assert mesh.unpack_report(orjson.loads(orjson.dumps(mesh.pack_report(report)))) == report
+    with pytest.raises(jobs.Invalid):
+        workers.parse_report(body.replace(b'"shift":2', b'"shift":"2"'))
+
+
+def _ask(port: int, raw: bytes) -> bytes:
+    with socket.create_connection(("127.0.0.1", port), timeout=5) as sock:
+        sock.sendall(raw)
+        sock.shutdown(socket.SHUT_WR)
+        out = b""
+        while True:
+            got = sock.recv(65536)
+            if not got:
+                return out
+            out += got
+
+
+def test_the_server_refuses_what_it_must_and_keeps_connections():
+    def handle(request: Request) -> Response:
+        return Response(200, request.body or request.path.encode())
+
+    server = Server("127.0.0.1", 0, handle, 8, "test")
+    server.start()
+    two = b"GET /a HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi"
+    answer = _ask(server.port, two)
+    assert answer.count(b"200 OK") == 2 and answer.endswith(b"hi")
+    chunked = b"POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+    assert _ask(server.port, chunked).endswith(b"abc")
+    assert b" 413 " in _ask(server.port, b"POST /b HTTP/1.1\r\nContent-Length: 70000\r\n\r\n")
+    assert b" 400 " in _ask(server.port, b"nonsense\r\n\r\n")
+    assert b" 431 " in _ask(server.port, b"GET /" + b"a" * 9000)
+    half = b"POST /b HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc"
+    assert _ask(server.port, half) == b"", "a body that stops half way gets no answer"
+    assert threading.active_count() < 20
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -563,3 +563,65 @@
             w.finish(part)
     for job_id in sorted(w.accepted):
         assert w.query("n0", job_id) in ("done", "aborted"), f"{job_id} never ended"
+
+
+def test_a_gang_is_placed_whole_or_not_at_all_and_comes_back_whole():
+    w = quiet(machines=2)
+    w.capacity = 0
+    w.submit("n0", w.job(1, parts=6, crew="blue"))
+    w.step()
+    w.step()
+    w.submit("n0", w.job(2, shape="gang", parts=4, crew="red"))
+    for _ in range(3):
+        w.step()
+    assert not any(p.startswith("req-000002") for p in running(w)), "two of four would fit"
+    for part in running(w):
+        w.finish(part)
+    for _ in range(4):
+        w.step()
+    assert len(running(w)) == 4
+    attempts = {a.number for worker in w.workers.values() for a in worker.tasks.values()}
+    assert len(attempts) == 1
+    for worker in w.workers.values():
+        if "req-000002/1" in worker.running():
+            worker.finish("req-000002/1", "error")
+    for _ in range(14):
+        w.step()
+    assert len(running(w)) == 4
+    assert w.nodes["n0"].submit(w.job(3, shape="gang", parts=9))[0] == 422, "more than the team's limit"
+
+
+def test_a_service_runs_until_it_is_cancelled():
+    w = quiet()
+    w.submit("n0", w.job(1, shape="daemon"))
+    w.step()
+    w.step()
+    w.finish("req-000001/0")
+    for _ in range(4):
+        w.step()
+    assert len(running(w)) == 2
+    assert w.query("n0", "req-000001") == "running"
+    assert w.cancel("n0", "req-000001") == "aborted"
+    w.step()
+    assert running(w) == []
+
+
+def test_the_balancer_frees_room_that_a_waiting_task_needs():
+    """A zone's machine is full of work that may run anywhere and saves; a task that may not, waits."""
+    w = World(1)
+    w.capacity = 0
+    w.machine("small", "north")
+    for _ in range(3):
+        w.step()
+    w.submit("n0", w.job(1, parts=2, cpus=2.0, crew="blue", bookmark_s=5.0, stash_s=1.0))
+    w.step()
+    w.step()
+    w.machine("small", "south")
+    w.step()
+    w.submit("n0", w.job(2, parts=1, cpus=2.0, yard="north", crew="red"))
+    for _ in range(8):
+        w.step()
+    assert w.nodes["n0"].engine.moves == 1, "one task moved, and no other for it"
+    north, south = w.workers.values()
+    assert "req-000002/0" in north.running()
+    assert len(south.running()) == 1 and south.running()[0].startswith("req-000001/")
--- /dev/null
+++ b/tests/test_tempered.py
@@ -0,0 +1,110 @@
+"""The balancer against the paper's definitions and small worked examples."""
+
+import random
+
+import pytest
+
+from bayford.scheduling import tempered
+from bayford.scheduling.tempered import Counts, Host, Item
+
+ANY = lambda key, target: True  # noqa: E731
+
+
+def host(index: int, cpus: float, *items: float) -> Host:
+    """A host with movable tasks of these CPUs, and memory to match."""
+    tasks = [Item((f"req-{index}/{n}", 1), (c, 0.0, c)) for n, c in enumerate(items)]
+    used = sum(items)
+    return Host(index, cpus, (cpus - used, 0.0, cpus - used), tasks)
+
+
+def test_imbalance_is_equation_1():
+    assert tempered.imbalance([1.0, 1.0, 1.0]) == 0.0
+    assert tempered.imbalance([2.0, 1.0, 0.0]) == pytest.approx(1.0)
+    assert tempered.imbalance([0.0, 0.0]) == 0.0
+
+
+def test_the_modified_cmf_weighs_by_headroom_below_the_highest_load():
+    # ls = max(average 0.5, highest 0.8) = 0.8: weights 0.75, 0.25 and 0
+    assert tempered.build_cmf([0.2, 0.6, 0.8]) == pytest.approx([0.75, 1.0, 1.0])
+    assert tempered.build_cmf([0.5, 0.5]) == [], "nobody is below the scale"
+    assert tempered.build_cmf([0.0, 0.0]) == pytest.approx([0.5, 1.0])
+
+
+def test_no_weight_is_negative_when_a_target_is_above_the_average():
+    cmf = tempered.build_cmf([0.1, 0.9])
+    assert cmf == sorted(cmf) and cmf[-1] == pytest.approx(1.0)
+    rng = random.Random(3)
+    assert {tempered.sample(cmf, rng) for _ in range(50)} == {0}, "the hottest is never drawn"
+
+
+def test_the_relaxed_criterion_is_the_load_gap():
+    assert tempered.criterion(0.29, 0.9, 0.6)
+    assert not tempered.criterion(0.3, 0.9, 0.6)
+
+
+def test_fewest_migrations_order():
+    items = [Item((f"t{n}", 1), (c, 0.0, 0.0)) for n, c in enumerate([1, 5, 3, 2, 8])]
+    loads = [i.need[0] for i in tempered.order_fewest(items, lambda i: i.need[0], 2.5)]
+    assert loads == [3, 2, 1, 5, 8], "smallest that suffices, lighter falling, heavier rising"
+    loads = [i.need[0] for i in tempered.order_fewest(items, lambda i: i.need[0], 9.0)]
+    assert loads == [8, 5, 3, 2, 1], "none suffices: falling"
+    loads = [i.need[0] for i in tempered.order_fewest(items, lambda i: i.need[0], 5.0)]
+    assert loads[0] == 5, "exactly the needed room suffices"
+
+
+def test_a_worked_example_moves_one_task():
+    hosts = [host(0, 4, 2, 1, 1), host(1, 4, 1), host(2, 4, 2)]
+    plan = tempered.free_room(hosts, 0, (2.0, 0.0, 2.0), Counts(8, 3, 3), ANY, random.Random(1))
+    assert plan is not None
+    assert [m.key[0] for m in plan.moves] == ["req-0/0"]
+    assert plan.moves[0].target == 1, "to host 2 the loads would only swap"
+    # loads then 0.5, 0.75, 0.5: average 0.583
+    assert plan.imbalance == pytest.approx(0.75 / (1.75 / 3) - 1)
+    assert [len(h.items) for h in hosts] == [3, 1, 1], "the picture itself is untouched"
+
+
+def test_every_resource_must_fit_and_the_job_must_allow_the_target():
+    hosts = [host(0, 4, 2, 2), host(1, 4)]
+    hosts[1].free = (4.0, 0.0, 1.0)
+    counts = Counts(8, 3, 3)
+    assert tempered.free_room(hosts, 0, (2.0, 0.0, 2.0), counts, ANY, random.Random(1)) is None
+    hosts[1].free = (4.0, 0.0, 4.0)
+    never = lambda key, target: False  # noqa: E731
+    assert tempered.free_room(hosts, 0, (2.0, 0.0, 2.0), counts, never, random.Random(1)) is None
+    assert tempered.free_room(hosts, 0, (2.0, 0.0, 2.0), counts, ANY, random.Random(1)) is not None
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_the_highest_load_never_rises_through_an_accepted_move(seed):
+    """Lemma 1, for the machines in the picture, of different sizes too."""
+    rng = random.Random(seed)
+    hosts = [
+        host(n, rng.choice([4, 8]), *(rng.choice([0.5, 1, 2]) for _ in range(rng.randint(0, 4))))
+        for n in range(6)
+    ]
+    hosts = [h for h in hosts if h.free[0] >= 0]
+    source = max(hosts, key=lambda h: h.load)
+    for _ in range(10):
+        before = max(h.load for h in hosts)
+        others = [h for h in hosts if h is not source]
+        moves = tempered.transfer(source, others, (source.cpus, 0.0, source.cpus), 1, ANY, rng)
+        assert max(h.load for h in hosts) <= before + 1e-9
+        if not moves:
+            break
+
+
+def test_best_of_trials_is_no_worse_than_any_single_trial():
+    hosts = [host(0, 8, 2, 2, 2, 2), host(1, 8, 2), host(2, 8, 2, 2), host(3, 8)]
+    need = (4.0, 0.0, 4.0)
+    rng = random.Random(5)
+    state = rng.getstate()
+    best = tempered.free_room(hosts, 0, need, Counts(10, 1, 4), ANY, rng)
+    rng.setstate(state)
+    singles = [tempered.free_room(hosts, 0, need, Counts(1, 1, 4), ANY, rng) for _ in range(10)]
+    found = [s.imbalance for s in singles if s is not None]
+    assert best is not None and best.imbalance == min(found)
+    assert len(set(found)) > 1, "the trials differ, so the choice matters"
+
+
+def test_the_budget_rounds_up_so_one_moves_while_any_runs():
+    assert [tempered.budget(n, 0.02) for n in (0, 1, 50, 51, 150)] == [0, 1, 1, 2, 3]
