--- a/bayford/coordination/engine.py
+++ b/bayford/coordination/engine.py
@@ -521,6 +521,9 @@
                     self.on_halt(other.machine)
         if state.why in (workers.HALTED, workers.PEERS, workers.ALONE):
             return
+        if state.why == workers.DONE:  # a service's replica: start it again, but not in a spin
+            job.not_before = max(job.not_before, now + 1.0)
+            return
         if state.why == workers.FULL:
             # The late picture was wrong; wait for a newer report before trying this machine again.
             self.refusals += 1
