--- a/bayford/coordination/engine.py
+++ b/bayford/coordination/engine.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import math
 import random
 import threading
 from collections.abc import Callable, Iterable
@@ -686,16 +687,26 @@
             if room <= 0:
                 job.why_waiting = "team limit"
                 continue
-            left = (len(job.waiting) + 0.5 * len(job.open)) * self.expected(job) * max(job.spec.cpus, 0.1)
+            run = self.expected(job)
             age = now - job.created
-            rank = left / (1.0 + age / self.policy.aging_s)
-            urgent = job.spec.priority >= URGENT
-            guaranteed = 0.0 if share.within_guarantee(job.spec) else 1.0
-            order = (0.0 if urgent else 1.0, guaranteed if self.policy.guarantee_first else 0.0)
-            out.append(((*order, -float(job.spec.priority), rank), job, min(room, len(job.waiting))))
+            count = min(room, len(job.waiting))
+            if job.spec.priority >= URGENT:
+                out.append(((0.0, 0.0, -float(job.spec.priority), self._rank(job, run, age)), job, count))
+                continue
+            owed = min(count, share.owed(job.spec))
+            if owed and age > self.policy.guarantee_wait_s:
+                out.append(((1.0, 0.0, 0.0, -age), job, owed))
+            guaranteed = 0.0 if owed and self.policy.guarantee_first else 1.0
+            order = (2.0, guaranteed, -float(job.spec.priority), self._rank(job, run, age))
+            out.append((order, job, count))
         out.sort(key=lambda entry: entry[0])
         return out
 
+    def _rank(self, job: Job, run: float, age: float) -> float:
+        """Work left, shrinking with age: small jobs first, yet none for ever last."""
+        left = (len(job.waiting) + 0.5 * len(job.open)) * run * max(job.spec.cpus, 0.1)
+        return left / (1.0 + age / self.policy.aging_s)
+
     def expected(self, job: Job) -> float:
         """Expected run time of one task, corrected by what has been seen of the class."""
         if job.spec.shape == SERVICE:
@@ -768,12 +779,13 @@
         for job in queue:
             if budget <= 0 or not job.waiting or job.not_before > now:
                 continue
-            owed = now - job.created > self.policy.guarantee_wait_s and self.shares[
-                job.team
-            ].within_guarantee(job.spec)
-            if job.spec.priority < URGENT and not owed:
-                continue
-            need = min(len(job.waiting), self.shares[job.team].room(job.spec))
+            share = self.shares[job.team]
+            need = min(len(job.waiting), share.room(job.spec))
+            if job.spec.priority < URGENT:
+                if now - job.created <= self.policy.guarantee_wait_s:
+                    continue
+                # Room is taken back for the guarantee alone, not for what would be borrowed on top.
+                need = min(need, share.owed(job.spec))
             while need > 0 and budget > 0:
                 if freeing + EPS >= job.spec.cpus:
                     freeing -= job.spec.cpus
@@ -1001,8 +1013,9 @@
     def _needs(self, now: float) -> list[fleet.Need]:
         needs = []
         room = {n: s.cpus_max - s.used_cpus for n, s in enumerate(self.shares)}
-        cpus = max(1.0, sum(m.cpus for m in self.machines.values() if not m.deleting))
-        ahead = 0.0
+        cpus = sum(m.cpus for m in self.machines.values() if not (m.deleting or m.quarantined))
+        cpus += sum(self.types[o.type].cpus * n for o, n in self.renting.items())
+        ahead = sum(0.5 * self.expected(j) * j.spec.cpus * len(j.open) for j in self.jobs.values())
         for _, job, count in self._queue(now):
             if job.spec.cpus > 0:
                 count = min(count, int((room[job.team] + EPS) / job.spec.cpus))
@@ -1024,12 +1037,17 @@
                         options.add(fleet.Option(index, zone, True))
             run = self.expected(job)
             ahead += count * job.spec.cpus * run
+            dear = 0
             target = job.spec.deadline_s or self.targets.get(job.spec.job_class)
-            late = False
             if target is not None:
-                ends = now - job.created + ahead / cpus + run
-                # Dear machines only where they can still make the difference.
-                late = ends > self.policy.target_margin * target and now - job.created + run < target
+                # Dear machines only where they still make the difference, and only as many as that takes.
+                age = now - job.created
+                spare = self.policy.target_margin * target - age - run
+                boot = min((self.types[o.type].boot_s for o in options), default=0.0)
+                if spare > 0 and age + boot + run < target:
+                    lacking = ahead / spare - cpus
+                    dear = min(count, max(0, math.ceil(lacking / max(job.spec.cpus, 0.1))))
+                    cpus += dear * job.spec.cpus
             needs.append(
                 fleet.Need(
                     frozenset(options),
@@ -1039,7 +1057,7 @@
                     job.spec.mem_gb,
                     run,
                     job.spec.priority >= URGENT,
-                    late,
+                    dear,
                 )  # fmt: skip
             )
         return needs
--- a/bayford/scheduling/fleet.py
+++ b/bayford/scheduling/fleet.py
@@ -28,7 +28,7 @@
     mem_gb: float
     run_s: float  # expected seconds of one task
     urgent: bool
-    late: bool  # already overdue, or sure to be, if nothing more is rented
+    dear: int  # how many of the tasks are worth dear machines, for else the aim is missed
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +71,7 @@
     """
     coming = dict(spare)
     ask: dict[Option, tuple[int, str]] = {}
-    for need in sorted(needs, key=lambda n: (not n.urgent, not n.late, -n.run_s)):
+    for need in sorted(needs, key=lambda n: (not n.urgent, not n.dear, -n.run_s)):
         left = need.tasks
         for option in need.options:
             have = coming.get(option, 0)
@@ -84,26 +84,25 @@
                     break
         if left <= 0 or (not need.urgent and busy_s < patience_s):
             continue
-        dear = busy_s >= ordinary_after_s or need.late
+        dear = left if busy_s >= ordinary_after_s else min(left, need.dear)
         if need.urgent:
             yielded = min(left * need.cpus, yielding_cpus)
             yielding_cpus -= yielded
-            dear = dear or left * need.cpus > yielded + EPS
+            dear = max(dear, left - int((yielded + EPS) / max(need.cpus, EPS)))
         choices = []
         for option in need.options - refused:
             kind = types[option.type]
             per = slots(kind, need.cpus, need.gpus, need.mem_gb)
             if not per:
                 continue
-            if not (option.spot or dear):
+            if not option.spot and not dear:
                 continue
             rate = kind.spot_price if option.spot else kind.price
             choices.append((rate / per * (1.0 + kind.boot_s / (MIN_CHARGE_S * 4)), option, per))
         for _, option, per in sorted(choices, key=lambda c: (c[0], c[1].type, c[1].zone, c[1].spot)):
-            count = min(50, -(-left // per))
+            count = min(50, -(-(left if option.spot else dear) // per))
             before, why = ask.get(option, (0, "urgent work waits" if need.urgent else "backlog"))
             ask[option] = (before + count, why)
-            left -= count * per
             break
     return [Rental(option, min(50, count), why) for option, (count, why) in ask.items()]
 
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -12,7 +12,7 @@
     guarantee_first: bool = True
     # preemption
     preempt_per_round: int = 16
-    guarantee_wait_s: float = 60.0
+    guarantee_wait_s: float = 300.0
     fetch_weight: float = 2.0
     # renting and returning
     ordinary_after_s: float = 1e9
--- a/bayford/scheduling/quota.py
+++ b/bayford/scheduling/quota.py
@@ -46,11 +46,18 @@
 
     def room(self, spec: JobSpec) -> int:
         """How many more such tasks the limit allows."""
+        return self._count(spec, self.cpus_max, self.gpus_max)
+
+    def owed(self, spec: JobSpec) -> int:
+        """How many more such tasks lie within the guarantee."""
+        return self._count(spec, self.cpus, self.gpus)
+
+    def _count(self, spec: JobSpec, cpus: float, gpus: float) -> int:
         most = float(spec.tasks)
         if spec.cpus > 0:
-            most = min(most, (self.cpus_max - self.used_cpus + EPS) / spec.cpus)
+            most = min(most, (cpus - self.used_cpus + EPS) / spec.cpus)
         if spec.gpus > 0:
-            most = min(most, (self.gpus_max - self.used_gpus + EPS) / spec.gpus)
+            most = min(most, (gpus - self.used_gpus + EPS) / spec.gpus)
         return max(0, int(most))
 
     def within_guarantee(self, spec: JobSpec) -> bool:
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -10,7 +10,7 @@
 
 # --- preemption
 # preempt_per_round = 16     # tasks stopped for waiting work in one round
-# guarantee_wait_s = 60.0    # how long work within a guarantee waits before it pushes out borrowed work
+# guarantee_wait_s = 300.0  # how long work within a guarantee waits before it pushes out borrowed work
 # fetch_weight = 2.0         # how much a fetch counts against a machine when victims are chosen
 
 # --- renting and returning
