--- a/bayford/coordination/engine.py
+++ b/bayford/coordination/engine.py
@@ -137,6 +137,7 @@
         self.starts = 0
         self.balanced_at = -1e18
         self.moves = 0
+        self.dear_serves = True
 
     # -- ownership -------------------------------------------------------------------------------------
 
@@ -727,6 +728,9 @@
             job.why_waiting = "zone of a running task unknown"
             return
         machines = placement.candidates(job, roomy, counts, now)
+        if not self.dear_serves and job.spec.priority < URGENT and job.spec.spot:
+            # The cheap machines alone are in time: let the dear ones run empty and go back.
+            machines = [m for m in machines if m.spot]
         share = self.shares[job.team]
         if job.spec.shape == GANG:
             self._place_gang(job, machines, now)
@@ -1015,6 +1019,8 @@
         room = {n: s.cpus_max - s.used_cpus for n, s in enumerate(self.shares)}
         cpus = sum(m.cpus for m in self.machines.values() if not (m.deleting or m.quarantined))
         cpus += sum(self.types[o.type].cpus * n for o, n in self.renting.items())
+        cheap = sum(m.cpus for m in self.machines.values() if m.spot and not (m.deleting or m.quarantined))
+        keep_dear = False
         ahead = sum(0.5 * self.expected(j) * j.spec.cpus * len(j.open) for j in self.jobs.values())
         for _, job, count in self._queue(now):
             if job.spec.cpus > 0:
@@ -1044,6 +1050,8 @@
                 age = now - job.created
                 spare = self.policy.target_margin * target - age - run
                 boot = min((self.types[o.type].boot_s for o in options), default=0.0)
+                if spare <= 0 or ahead / spare > cheap:
+                    keep_dear = True
                 if spare > 0 and age + boot + run < target:
                     lacking = ahead / spare - cpus
                     dear = min(count, max(0, math.ceil(lacking / max(job.spec.cpus, 0.1))))
@@ -1060,6 +1068,7 @@
                     dear,
                 )  # fmt: skip
             )
+        self.dear_serves = keep_dear or not cheap
         return needs
 
     def _rentals(self, step: FleetStep, now: float, needs: list[fleet.Need]) -> None:
@@ -1166,9 +1175,12 @@
     def _idle(self, machine: Machine, now: float, needs: list[fleet.Need], spare: float) -> bool:
         if machine.type is None or machine.idle_since <= 0:
             return False
+        waiting = bool(needs) and (machine.spot or self.dear_serves)
         keep = self.policy.keep_idle_s if spare <= self.reserve(now) else self.policy.surplus_idle_s
+        if not machine.spot and not self.dear_serves:
+            keep = min(keep, self.policy.dear_idle_s)
         return fleet.should_return(
-            now - machine.idle_since, now - machine.rented, not machine.spot, bool(needs), keep
+            now - machine.idle_since, now - machine.rented, not machine.spot, waiting, keep
         )
 
     def reserve(self, now: float) -> float:
--- a/bayford/scheduling/placement.py
+++ b/bayford/scheduling/placement.py
@@ -47,10 +47,11 @@
 
 
 def score(job: Job, machine: Machine) -> tuple[float, ...]:
-    """Smaller is better: image there, then on its way; then the fullest machine, so that others empty."""
+    """Smaller is better: image there, then on its way; cheap before dear; then the fullest machine, so that
+    others empty."""
     have = machine.images.get(job.image)
     image = 0.0 if have else 1.0 if have is not None else 2.0
-    return (image, machine.free_cpus - job.spec.cpus, machine.index)
+    return (image, 0.0 if machine.spot else 1.0, machine.free_cpus - job.spec.cpus, machine.index)
 
 
 def choose(job: Job, machines: Sequence[Machine], hint: int | None = None) -> Machine | None:
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -21,6 +21,7 @@
     refused_s: float = 20.0
     keep_idle_s: float = 30.0
     surplus_idle_s: float = 8.0
+    dear_idle_s: float = 2.0
     reserve: float = 1.0
     reserve_memory_s: float = 90.0
     # failing runs
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -20,6 +20,7 @@
 # refused_s = 20.0           # how long a refusal by the cloud is remembered
 # keep_idle_s = 30.0         # idle machines of the reserve go back after this
 # surplus_idle_s = 8.0       # others after this
+# dear_idle_s = 2.0          # ordinary ones after this while the cheap ones are in time without them
 # reserve = 1.0              # the reserve, in mean CPUs of the urgent jobs that came lately
 # reserve_memory_s = 90.0    # what "lately" is
 
