--- a/bayford/coordination/engine.py
+++ b/bayford/coordination/engine.py
@@ -6,6 +6,7 @@
 rests on are stated where the code keeps them.
 """
 
+import dataclasses
 import logging
 import math
 import random
@@ -36,6 +37,8 @@
 
 log = logging.getLogger("bayford.engine")
 
+KEEP_S = 4.0  # how long room that was made for a job is kept for it
+
 Key = tuple[str, int]  # task name, attempt
 
 
@@ -757,6 +760,8 @@
         job.next_attempt += 1
         self._book(job, machine, place)
         machine.images.setdefault(job.image, False)
+        if machine.kept_for == job.spec.id:
+            machine.kept_until = 0.0
 
     def _place_gang(self, job: Job, machines: list[Machine], now: float) -> None:
         """All waiting tasks of a gang at once, in one transaction, or none."""
@@ -774,31 +779,38 @@
     def _preempt(self, queue: list[Job], now: float) -> None:
         """Stop the cheapest tasks for waiting work that PROTOCOL lets push them out."""
         budget = self.policy.preempt_per_round
-        coming: dict[int, float] = {}  # job -> cpus already being freed for it
+        kept: dict[str, int] = {}
+        for machine in self.machines.values():
+            if machine.kept_until > now:
+                kept[machine.kept_for] = kept.get(machine.kept_for, 0) + 1
+        after = [dataclasses.replace(share) for share in self.shares]  # once the stops are through
         for machine in self.machines.values():
             for key, place in machine.open.items():
                 if place.halting:
-                    coming[machine.index] = coming.get(machine.index, 0.0) + self._job_of(key).spec.cpus
-        freeing = sum(coming.values())
+                    job = self._job_of(key)
+                    after[job.team].give(job.spec)
         for job in queue:
             if budget <= 0 or not job.waiting or job.not_before > now:
                 continue
             share = self.shares[job.team]
             need = min(len(job.waiting), share.room(job.spec))
+            owed = 0
+            if now - job.created > self.policy.guarantee_wait_s:
+                owed = share.owed(job.spec)
             if job.spec.priority < URGENT:
-                if now - job.created <= self.policy.guarantee_wait_s:
-                    continue
                 # Room is taken back for the guarantee alone, not for what would be borrowed on top.
-                need = min(need, share.owed(job.spec))
+                need = min(need, owed)
+            need -= kept.get(job.spec.id, 0)
             while need > 0 and budget > 0:
-                if freeing + EPS >= job.spec.cpus:
-                    freeing -= job.spec.cpus
-                    need -= 1
-                    continue
-                found = self._find_victims(job, now)
+                found = self._find_victims(job, now, after, owed > 0)
                 if found is None:
                     break
+                # Else smaller tasks would take what is free there already, and the stop was for nothing.
+                machine = self.machines[found[0].place.machine]
+                machine.kept_for, machine.kept_until = job.spec.id, now + KEEP_S
+                owed -= 1
                 for victim in found:
+                    after[victim.job.team].give(victim.job.spec)
                     victim.place.halting = True
                     victim.place.halt_grace = (
                         victim.job.spec.save_s * 1.5 if victim.job.spec.checkpoint_s else 0
@@ -814,7 +826,9 @@
     def _job_of(self, key: Key) -> Job:
         return self.jobs[workers.split_task(key[0])[0]]  # type: ignore[index]
 
-    def _find_victims(self, waiting: Job, now: float) -> list[preemption.Victim] | None:
+    def _find_victims(
+        self, waiting: Job, now: float, after: list[Share], owed: bool
+    ) -> list[preemption.Victim] | None:
         counts = placement.zones_open(waiting, self._zone)
         best: tuple[float, list[preemption.Victim]] | None = None
         for machine in placement.candidates(waiting, self.machines.values(), counts, now):
@@ -826,7 +840,7 @@
                 job = self._job_of(key)
                 if place.halting:
                     halting = True
-                elif preemption.may_stop(waiting, job, self.shares):
+                elif preemption.may_stop(waiting, job, after, owed):
                     ran = 0.0 if place.running_since is None else now - place.running_since
                     left_s = self.expected(job) - ran
                     if waiting.spec.priority < URGENT and left_s < self.policy.guarantee_wait_s / 2:
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -181,6 +181,8 @@
     free_gpus: float = 0.0
     free_mem: float = 0.0
     full_until: float = 0.0
+    kept_for: str = ""  # the job that room is being made for here
+    kept_until: float = 0.0
     speed: float = 1.0
 
     @property
--- a/bayford/scheduling/placement.py
+++ b/bayford/scheduling/placement.py
@@ -43,6 +43,7 @@
         and type_allowed(job, m)
         and zone_allowed(job, m.zone, counts)
         and m.index not in job.failed_on
+        and (m.kept_until <= now or m.kept_for == job.spec.id)
     ]
 
 
--- a/bayford/scheduling/preemption.py
+++ b/bayford/scheduling/preemption.py
@@ -20,17 +20,17 @@
     loss: float
 
 
-def may_stop(waiting: Job, running: Job, shares: list[Share]) -> bool:
-    """Whether PROTOCOL lets `waiting` push out a task of `running`."""
+def may_stop(waiting: Job, running: Job, shares: list[Share], owed: bool) -> bool:
+    """Whether PROTOCOL lets `waiting` push out a task of `running`.
+
+    `shares` must be as they will be once the stops under way are through; else two teams that both waited
+    would stop one another's tasks in turn. `owed`: it has waited long for what its team is guaranteed.
+    """
     if waiting is running:
         return False
     if waiting.spec.priority > running.spec.priority:
         return True
-    return (
-        waiting.team != running.team
-        and shares[running.team].beyond
-        and shares[waiting.team].within_guarantee(waiting.spec)
-    )
+    return owed and waiting.team != running.team and shares[running.team].beyond
 
 
 def lost_work(job: Job, place: Placement, now: float, expected_s: float) -> float:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -625,3 +625,39 @@
     north, south = w.workers.values()
     assert "req-000002/0" in north.running()
     assert len(south.running()) == 1 and south.running()[0].startswith("req-000001/")
+
+
+def test_equals_of_two_teams_do_not_stop_one_another_in_turn():
+    """Each team once counted as within its guarantee while the other's stops were still under way."""
+    w = quiet(machines=2)
+    w.capacity = 0
+    for n in (1, 2):
+        w.submit("n0", w.job(n, parts=8, rank="urgent", crew="red" if n == 1 else "blue"))
+    stopped = 0
+    for _ in range(60):
+        w.step(1.0)
+        stopped += sum(p.halting for m in w.nodes["n0"].engine.machines.values() for p in m.open.values())
+    assert stopped == 0
+    assert len(running(w)) == 8
+
+
+def test_room_made_for_a_job_is_kept_for_it():
+    """Two stops free two CPUs on one machine; smaller waiting tasks must not take the first of them."""
+    w = quiet(machines=1)
+    w.capacity = 0
+    w.submit("n0", w.job(1, parts=8))
+    w.step()
+    w.step()
+    w.submit("n0", w.job(2, parts=1, cpus=2.0, crew="blue", rank="urgent"))
+    node = w.nodes["n0"]
+    node.mirror.pull(0.0)
+    node.engine.round()
+    worker = next(iter(w.workers.values()))
+    first, second = (key for key, p in next(iter(node.engine.machines.values())).open.items() if p.halting)
+    worker.finish(first[0], "halted")
+    w.report(worker)
+    w.step_node("n0")
+    worker.finish(second[0], "halted")
+    w.step()
+    w.step()
+    assert "req-000002/0" in worker.running()
