--- a/bayford/coordination/engine.py
+++ b/bayford/coordination/engine.py
@@ -893,7 +893,12 @@
     def _plan(self, job: Job, moves: int, now: float) -> tempered.Plan | None:
         spec = job.spec
         counts = placement.zones_open(job, self._zone)
-        usable = [m for m in self.machines.values() if m.usable and not m.relay]
+        # Room that is being made for a job, or that a worker just refused, is not there for others.
+        usable = [
+            m
+            for m in self.machines.values()
+            if m.usable and not m.relay and m.kept_until <= now and m.full_until <= now
+        ]
         allowed = placement.candidates(job, usable, counts, now)
         if any(m.has_room(spec) for m in allowed):
             return None  # it fits as it is and is about to be placed
