--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -15,7 +15,7 @@
 from bayford.protocol.cloud_api import Cloud, CloudBusy, NoCapacity
 from bayford.scheduling import quota
 from bayford.scheduling.model import JobSpec
-from bayford.storage import records
+from bayford.storage import records, summary
 from bayford.storage.mirror import Mirror
 from bayford.storage.store import LeaseGone, Put, Row, Store, Unavailable, Unknown
 
@@ -26,6 +26,7 @@
 USER_WAIT_S = 1.2  # users give up on a poll after 2 s
 GATE_WAIT_S = 1.0
 COMMANDERS = 3
+SUMMARY_OLD_S = 180.0  # an older summary says nothing about the machines of now
 
 
 class Controller:
@@ -74,6 +75,7 @@
         self._rentals: queue.Queue[tuple[str, str, bool, int, str]] = queue.Queue(64)
         self._deletions: queue.Queue[str] = queue.Queue(1000)
         self._rental_number = 0
+        self._summary_keys = 0
         self._unreachable: set[str] = set()
         self._last_state_ok = clock()
         engine.read_record = self._read_record
@@ -139,6 +141,7 @@
             ("delete", self._delete_step),
             ("catalog", self._catalog_step),
             ("peers", self._peer_step),
+            ("summary", self.summary_step),
             *((f"command{n}", self._command_step) for n in range(COMMANDERS)),
         ]
         for name, step in loops:
@@ -179,7 +182,8 @@
             # came later than all of them, and none can come after it.
             self.mirror.pull(0.0)
             found = [self.mirror.record(job_id) for job_id in self.mirror.job_ids()]
-            self.engine.adopt([f for f in found if f is not None])
+            late = summary.newest(self.mirror.below(records.SUMMARIES), self.wall() - SUMMARY_OLD_S)
+            self.engine.adopt([f for f in found if f is not None], late)
             for row in self.mirror.below(records.RELAYS):
                 self._on_rows([row])
             self._kick.set()
@@ -343,6 +347,18 @@
             self._kick.set()
         return 0.0
 
+    def summary_step(self) -> float:
+        """Write the summary; not conditional on the map, since it decides nothing."""
+        picture = self.engine.summary()
+        if picture:
+            bytes_ = self.engine.value_bytes
+            puts = summary.encode(self.name, self.wall(), picture, bytes_, self._summary_keys)
+            self._summary_keys = sum(put.value is not None for put in puts)
+            for at in range(0, len(puts), 4):
+                self.writes.take(len(puts[at : at + 4]))
+                self.store.commit({}, puts[at : at + 4])
+        return max(1.0, self.engine.policy.summary_every_s)
+
     def _catalog_step(self) -> float:
         types = self.cloud.catalog()
         first = not self.engine.types
--- a/bayford/coordination/engine.py
+++ b/bayford/coordination/engine.py
@@ -134,6 +134,7 @@
         self.verified_at = -1e18
         self.last_report = -1e18
         self.owner_since = 0.0
+        self.late_picture: dict[str, list[str]] = {}
         self.renting: dict[fleet.Option, int] = {}
         self.urgent_jobs: list[tuple[float, float]] = []  # when accepted, CPUs
         self.refusals = 0
@@ -144,11 +145,20 @@
 
     # -- ownership -------------------------------------------------------------------------------------
 
-    def adopt(self, found: Iterable[tuple[records.Record, int]]) -> None:
-        """Become owner: rebuild everything from the records. Nothing is placed before this is complete."""
+    def adopt(
+        self,
+        found: Iterable[tuple[records.Record, int]],
+        late_picture: dict[str, list[str]] | None = None,
+    ) -> None:
+        """Become owner: rebuild everything from the records. Nothing is placed before this is complete.
+
+        `late_picture` is the last summary of the owner before: the images on each machine. It only
+        steers choices, so that it is late, or missing, does no harm.
+        """
         with self.lock:
             self._clear()
             self.owner = True
+            self.late_picture = late_picture or {}
             now = self.owner_since = self.clock()
             for record, stamp in found:
                 self._load(record, stamp, now)
@@ -207,6 +217,7 @@
         machine = self.machines.get(index)
         if machine is None:
             machine = Machine(index, name, heard=now, rented=now, idle_since=now)
+            machine.images = {self.images.index(i): True for i in self.late_picture.get(name, ())}
             self.machines[index] = machine
             self.seen[index] = {}
         return machine
@@ -1242,6 +1253,21 @@
         facts = self.settings.facts.workers
         return max(0.0, facts.cancel_s - facts.lease_s - 5.0)
 
+    def summary(self) -> list[tuple[str, float, list[str]]]:
+        """What this controller tells the others now and then: name, load and images of its machines."""
+        with self.lock:
+            if not self.owner:
+                return []
+            return [
+                (
+                    m.name,
+                    round(1.0 - m.free_cpus / m.cpus, 2) if m.cpus else 0.0,
+                    [self.images[i] for i, there in m.images.items() if there],
+                )
+                for m in self.machines.values()
+                if m.reported and not m.deleting
+            ]
+
     def dirty(self) -> int:
         """How many jobs wait for a write."""
         with self.lock:
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -27,7 +27,7 @@
     # failing runs
     job_fault_machines: int = 3
     # answers to reports
-    hold_s: float = 0.5
+    hold_s: float = 1.2
     hold_idle_s: float = 1.5
     # the balancer
     balance_every_s: float = 1.0
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -28,7 +28,7 @@
 # job_fault_machines = 3     # a job that failed on so many machines, and ran on none, is itself at fault
 
 # --- answers to reports
-# hold_s = 0.5               # how long the report of a machine with some room is kept, awaiting work
+# hold_s = 1.2               # how long the report of a machine with some room is kept, awaiting work
 # hold_idle_s = 1.5          # the same for an empty machine (at most 3/4 of report_s)
 
 # --- the balancer (docs/design.md)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -661,3 +661,22 @@
     w.step()
     w.step()
     assert "req-000002/0" in worker.running()
+
+
+def test_a_new_owner_knows_the_images_from_the_summary_of_the_one_before():
+    w = quiet(machines=30, nodes=2, value_kb=0.5)
+    owner = w.owner()
+    w.submit(owner, w.job(1, parts=1))
+    w.step()
+    w.step()
+    w.finish("req-000001/0")
+    w.step()
+    have = [m.name for m in w.nodes[owner].engine.machines.values() if any(m.images.values())]
+    assert len(have) == 1
+    w.nodes[owner].summary_step()
+    assert max(w.state.sizes) <= 512
+    del w.nodes[owner]
+    for _ in range(12):
+        w.step()
+    new = w.nodes[w.owner()].engine
+    assert [m.name for m in new.machines.values() if any(m.images.values())] == have
