--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -27,6 +27,7 @@
 USER_WAIT_S = 1.2  # users give up on a poll after 2 s
 GATE_WAIT_S = 1.0
 COMMANDERS = 3
+SERVED_S = 3.0
 SUMMARY_OLD_S = 180.0  # an older summary says nothing about the machines of now
 
 
@@ -67,8 +68,8 @@
         state = settings.facts.state
         # The owner writes nearly everything; the rest is left to the other controllers' submissions.
         self.writes = Budget(state.write_rps * 0.85, max(float(state.txn_ops), state.write_rps * 0.8), clock)
-        self.zone_of = {p.member: p.site for p in settings.seeds}
-        self.zone_of[self.name] = settings.site
+        cloud_rps = settings.facts.cloud.rps
+        self.calls = Budget(cloud_rps * 0.8, max(1.0, cloud_rps), clock)  # only the owner calls much
         self._kick = threading.Event()
         self._commit = threading.Event()
         self._verify = threading.Event()
@@ -78,7 +79,7 @@
         self._rental_number = 0
         self._summary_keys = 0
         self._unreachable: set[str] = set()
-        self._last_state_ok = clock()
+        self._peer_served = -1e18  # when a peer last said that the state service serves it
         engine.read_record = self._read_record
         engine.on_ready = self._on_ready
         engine.on_halt = self._on_halt
@@ -147,7 +148,9 @@
         ]
         for name, step in loops:
             threading.Thread(target=self._loop, args=(name, step), name=name, daemon=True).start()
-        threading.Thread(target=self.mirror.serve, args=(0.03,), name="fresh", daemon=True).start()
+        # All controllers read; together they must stay well below the state service's limit.
+        gap = max(0.02, 1.8 * self.settings.facts.nodes / self.settings.facts.state.rps)
+        threading.Thread(target=self.mirror.serve, args=(gap,), name="fresh", daemon=True).start()
 
     def _loop(self, name: str, step: Callable[[], float]) -> None:
         while True:
@@ -242,7 +245,7 @@
                 self._settle()
             return
         # Our own rows first: a query answered from here must not lag behind what we act upon.
-        self.mirror.apply([Row(p.key, p.value, outcome.revision) for p in batch.puts])
+        self.mirror.apply([Row(p.key, p.value, outcome.revision) for p in batch.puts], tell=False)
         self.engine.committed(batch, outcome.revision, began)
 
     def _verify_step(self, stamp: int) -> None:
@@ -272,6 +275,14 @@
                 self._commit.set()
         return 0.08
 
+    def _pace(self) -> None:
+        """Wait for a place under the cloud's limit of requests."""
+        for _ in range(100):
+            if self.calls.available() >= 1.0:
+                break
+            self._pause(threading.Event(), 0.1)
+        self.calls.take(1.0)
+
     def _fleet_step(self) -> float:
         if self.engine.owner:
             step = self.engine.fleet_step()
@@ -283,6 +294,7 @@
 
     def _list_step(self) -> float:
         if self.engine.owner:
+            self._pace()
             began = self.clock()
             listed = self.cloud.machines()
             self.engine.on_list([(m.name, m.type, m.zone, m.spot, m.phase, m.age_s) for m in listed], began)
@@ -300,6 +312,7 @@
         at = self.clock()
         names: list[str] = []
         for attempt in range(4):
+            self._pace()
             try:
                 names = self.cloud.rent(request, kind, zone, spot, asked)
                 break
@@ -323,6 +336,7 @@
 
     def delete(self, names: list[str]) -> bool:
         """Delete machines; only the cloud's 200 proves that their tasks are gone."""
+        self._pace()
         try:
             self.cloud.delete(names)
         except CloudBusy as bad:
@@ -361,6 +375,7 @@
         return max(1.0, self.engine.policy.summary_every_s)
 
     def _catalog_step(self) -> float:
+        self._pace()
         types = self.cloud.catalog()
         first = not self.engine.types
         self.engine.set_types(types)
@@ -377,6 +392,8 @@
                 continue
             self._unreachable.discard(name)
             self.membership.heard(status.token)
+            if status.served:
+                self._peer_served = self.clock()
         if self.membership.behind:
             self.mirror.pull(0.0)
             self._settle()
@@ -385,7 +402,11 @@
     def status(self) -> mesh.Status:
         """What peers are told."""
         view = self.membership.view
-        return mesh.Status(self.name, view.token, view.owner)
+        return mesh.Status(self.name, view.token, view.owner, self._served())
+
+    def _served(self) -> bool:
+        """Whether the state service has answered this node lately."""
+        return self.clock() - self.membership.renewed < SERVED_S
 
     # -- workers ---------------------------------------------------------------------------------------
 
@@ -464,8 +485,14 @@
     # -- users -----------------------------------------------------------------------------------------
 
     def healthy(self) -> bool:
-        """Whether this node can take requests: it has a view of the store."""
-        return self.mirror.revision >= 0 and self.clock() - self.mirror.fresh_at < 60.0
+        """Whether this node can take requests.
+
+        In an outage of the state service all nodes stay up: users are told to come back, and none has to
+        be found healthy again afterwards. A node that alone is cut off from it sends users elsewhere.
+        """
+        if self.mirror.revision < 0:
+            return False
+        return self._served() or self.clock() - self._peer_served > SERVED_S
 
     def submit(self, body: bytes) -> Answer:
         """Accept a job: durable before the answer."""
--- a/bayford/coordination/membership.py
+++ b/bayford/coordination/membership.py
@@ -65,6 +65,7 @@
         self._clock = clock
         self._lease: int | None = None
         self._renewed = -1e18
+        self.renewed = -1e18  # when the state service last did what we asked for the lease
         self._orphan_since: float | None = None
         self._lock = threading.Lock()
         self._view = View()
@@ -131,6 +132,7 @@
             if self._lease is not None:
                 try:
                     self._store.renew(self._lease)
+                    self.renewed = now
                     mirrored = self.live().get(self.name)
                     if mirrored == self.incarnation or self._mirror.revision < 0:
                         return
@@ -142,6 +144,7 @@
             key = records.MEMBERS + self.name
             outcome = self._store.commit({}, [Put(key, self.incarnation, self._lease)])
             if outcome.applied:
+                self.renewed = now
                 self._mirror.apply([Row(key, self.incarnation, outcome.revision)])
         except LeaseGone:
             self._lease = None
--- a/bayford/protocol/mesh.py
+++ b/bayford/protocol/mesh.py
@@ -16,6 +16,7 @@
     member: str
     token: int
     owner: str
+    served: bool = False  # by the state service, lately
 
 
 _status = msgspec.json.Decoder(Status)
@@ -23,7 +24,7 @@
 
 def encode_status(status: Status) -> bytes:
     """For the mesh."""
-    return orjson.dumps({"member": status.member, "token": status.token, "owner": status.owner})
+    return orjson.dumps(msgspec.structs.asdict(status))
 
 
 def decode_status(body: bytes) -> Status:
--- a/bayford/storage/mirror.py
+++ b/bayford/storage/mirror.py
@@ -37,8 +37,8 @@
 
     # -- feeding ---------------------------------------------------------------------------------------
 
-    def apply(self, rows: Iterable[Row], revision: int | None = None) -> list[Row]:
-        """Take rows in; returns (and tells the listener) those that were news."""
+    def apply(self, rows: Iterable[Row], revision: int | None = None, tell: bool = True) -> None:
+        """Take rows in and tell the listener those that were news, unless they are its own writes."""
         news = []
         with self._lock:
             for row in rows:
@@ -55,9 +55,8 @@
                 self.revision = revision
                 if len(self._gone) > 2000:
                     self._gone.clear()
-        if news and self._listener is not None:
+        if news and tell and self._listener is not None:
             self._listener(news)
-        return news
 
     def reload(self) -> None:
         """Read everything again: at the start, and when the changes have been compacted."""
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -680,3 +680,28 @@
         w.step()
     new = w.nodes[w.owner()].engine
     assert [m.name for m in new.machines.values() if any(m.images.values())] == have
+
+
+def test_a_node_that_alone_is_refused_by_the_state_sends_users_elsewhere():
+    w = quiet(nodes=2)
+    assert w.nodes["n1"].healthy()
+    w.state.refuses.add("n1")
+    w.nodes["n1"].peers = {"n0": lambda timeout_s: w.nodes["n0"].status()}
+    for _ in range(5):
+        w.step(1.0)
+        w.nodes["n1"]._peer_step()
+    assert w.nodes["n0"].healthy() and not w.nodes["n1"].healthy()
+    w.state.refuses.add("n0")
+    for _ in range(9):
+        w.step(1.0)
+        w.nodes["n1"]._peer_step()
+    assert w.nodes["n1"].healthy(), "an outage for all: every node stays up and tells users to come back"
+
+
+def test_calls_to_the_cloud_keep_within_their_rate():
+    w = quiet(machines=0)
+    node = w.nodes["n0"]
+    began = w.clock.now
+    for _ in range(30):
+        node._pace()
+    assert 30 / (w.clock.now - began) < 3.0 * 1.3
