--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -13,7 +13,7 @@
     # preemption
     preempt_per_round: int = 16
     guarantee_wait_s: float = 300.0
-    fetch_weight: float = 2.0
+    fetch_weight: float = 8.0
     # renting and returning
     ordinary_after_s: float = 1e9
     target_margin: float = 1.0
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -11,7 +11,7 @@
 # --- preemption
 # preempt_per_round = 16     # tasks stopped for waiting work in one round
 # guarantee_wait_s = 300.0  # how long work within a guarantee waits before it pushes out borrowed work
-# fetch_weight = 2.0         # how much a fetch counts against a machine when victims are chosen
+# fetch_weight = 8.0         # how much a fetch counts against a machine when victims are chosen
 
 # --- renting and returning
 # ordinary_after_s = 1e9     # backlog, in seconds of the fleet, from which dear machines are rented anyhow
