--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -425,7 +425,9 @@
         if not view.owner or self.membership.live().get(view.owner) != view.incarnation:
             return 503, jobs.error("no owner yet")
         unreachable = view.owner in self._unreachable
-        if not self.relay.shelters(report.machine, unreachable):
+        # The first report of all has tick 1 or so; a later one with our token comes from the owner.
+        left = report.token == view.token and report.tick > 2
+        if not self.relay.shelters(report.machine, unreachable, left):
             return 421, workers.redirect(view.owner)
         return self._report_sheltered(report)
 
--- a/bayford/coordination/relay.py
+++ b/bayford/coordination/relay.py
@@ -19,6 +19,8 @@
 
 SHELTER_S = 30.0
 RETURN_S = 20.0
+FIRST_S = 10.0  # until the owner is tried again by a machine that lost it
+AGAIN_S = 60.0
 
 
 class Relay:
@@ -37,24 +39,29 @@
         self._published = -1e18
         self._keys = 0
 
-    def shelters(self, machine: str, owner_unreachable: bool) -> bool:
+    def shelters(self, machine: str, owner_unreachable: bool, left_owner: bool) -> bool:
         """Whether to answer this machine here. If not, it is about to be sent to the owner: remember that.
 
-        A machine that comes back soon after it was sent to the owner could not reach it.
+        A machine that comes back soon after it was sent to the owner could not reach it. One that has the
+        owner's token already and turns up here has just lost it (`left_owner`): with a short lease there is
+        no time to send it back first and see.
         """
         now = self._clock()
         with self._lock:
-            if owner_unreachable:
-                self._until[machine] = now + SHELTER_S / 3
-            sent = self._sent_away.get(machine)
+            until = self._until.get(machine, -1e18)
+            if until > now:
+                return True
+            sent = self._sent_away.pop(machine, None)
             if sent is not None and 1.0 < now - sent < RETURN_S:
                 self._until[machine] = now + SHELTER_S
-                self._sent_away.pop(machine, None)
-            if self._until.get(machine, 0.0) > now:
+                return True
+            if owner_unreachable or (left_owner and now - until > AGAIN_S):
+                self._until[machine] = now + FIRST_S
                 return True
             self._sent_away[machine] = now
             if len(self._sent_away) > 4000:
                 self._sent_away = {m: t for m, t in self._sent_away.items() if now - t < RETURN_S}
+                self._until = {m: t for m, t in self._until.items() if now - t < AGAIN_S}
             return False
 
     def note(self, report: workers.Report) -> None:
