--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -28,6 +28,7 @@
 GATE_WAIT_S = 1.0
 COMMANDERS = 3
 SERVED_S = 3.0
+TELL_S = 15.0  # how often the log says who waits and why
 SUMMARY_OLD_S = 180.0  # an older summary says nothing about the machines of now
 
 
@@ -144,6 +145,7 @@
             ("catalog", self._catalog_step),
             ("peers", self._peer_step),
             ("summary", self.summary_step),
+            ("tell", self._tell_step),
             *((f"command{n}", self._command_step) for n in range(COMMANDERS)),
         ]
         for name, step in loops:
@@ -374,6 +376,11 @@
                 self.store.commit({}, puts[at : at + 4])
         return max(1.0, self.engine.policy.summary_every_s)
 
+    def _tell_step(self) -> float:
+        for line in self.engine.waiting():
+            log.info("%s", line)
+        return TELL_S
+
     def _catalog_step(self) -> float:
         self._pace()
         types = self.cloud.catalog()
--- a/bayford/coordination/rounds.py
+++ b/bayford/coordination/rounds.py
@@ -79,6 +79,28 @@
         out.sort(key=lambda entry: entry[0])
         return out
 
+    def waiting(self, most: int = 5) -> list[str]:
+        """For the log: the oldest waiting jobs and why they wait, and how the whole stands."""
+        with self.lock:
+            if not self.owner:
+                return []
+            now = self.clock()
+            queue = sorted((j for j in self.jobs.values() if j.waiting), key=lambda j: j.created)
+            lines = []
+            for job in queue[:most]:
+                why = "failed runs, next try later" if job.not_before > now else job.why_waiting
+                lines.append(
+                    f"job {job.spec.id} of {job.spec.team}: {len(job.waiting)} tasks wait since "
+                    f"{now - job.created:.0f} s: {why or 'its turn has not come'}"
+                )
+            running = sum(len(m.open) for m in self.machines.values())
+            reporting = sum(m.reported for m in self.machines.values())
+            lines.append(
+                f"{len(queue)} jobs wait, {running} tasks placed on {len(self.machines)} machines "
+                f"({reporting} reporting); refusals {self.refusals}, moves {self.moves}, starts {self.starts}"
+            )
+            return lines
+
     def _rank(self, job: Job, run: float, age: float) -> float:
         """Work left, shrinking with age: small jobs first, yet none for ever last."""
         left = (len(job.waiting) + 0.5 * len(job.open)) * run * max(job.spec.cpus, 0.1)
