A record whose pieces do not fit is 503, never 404, and its stamp is never taken over unread

Cause (found by reading): a reload reads page by page, so a record in pieces can be seen torn; a query then said 404, and an owner that took the stamp over could have wiped out a cancellation.

--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -349,13 +349,17 @@
 
     def _merge(self, job: Job, versions: Versions, row: Row) -> None:
         """Somebody else's write of a job of ours: a cancellation, or a transaction given up on."""
+        record = self.read_record(job.spec.id)
+        if record is None:
+            # Not whole yet. Its stamp must not be taken over unread: our next write would pass and wipe
+            # out the cancellation that it may hold. Unread, that write conflicts, and this is tried again.
+            return
         job.stamp = row.stamp
         job.pieces = max(job.pieces, records.pieces(row.value))
         versions.now += 1
         if not versions.dirty_since:
             versions.dirty_since = self.clock()
-        record = self.read_record(job.spec.id)
-        if record is not None and record.cancelled and not job.cancelled:
+        if record.cancelled and not job.cancelled:
             self._cancel(job, record.cancelled)
             if not job.open and not record.open:  # the record is final as it stands
                 versions.durable = versions.now
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -88,7 +88,11 @@
     # -- hooks -----------------------------------------------------------------------------------------
 
     def _read_record(self, job_id: str) -> records.Record | None:
-        found = self.mirror.record(job_id)
+        try:
+            found = self.mirror.record(job_id)
+        except Unavailable as bad:
+            log.info("%s", bad)
+            return None
         return None if found is None else found[0]
 
     def _on_ready(self, machine: int) -> None:
@@ -121,14 +125,17 @@
         if not self.engine.owner:
             return
         for base in touched:
-            found = self.mirror.record(base[len(records.JOBS) :])
-            row_ = self.mirror.get(base)
-            if found is not None and row_ is not None:
-                self.engine.on_row(row_, found[0])
+            self._tell_engine(base)
         if touched:
             self._kick.set()
             self._commit.set()
 
+    def _tell_engine(self, base: str) -> None:
+        # If the record is not whole, the change that completes it brings us here again.
+        row, record = self.mirror.get(base), self._read_record(base[len(records.JOBS) :])
+        if row is not None and record is not None:
+            self.engine.on_row(row, record)
+
     # -- threads ---------------------------------------------------------------------------------------
 
     def start(self) -> None:
@@ -245,6 +252,9 @@
             if records.MAP in outcome.failed:
                 log.info("deposed: the map has changed")
                 self._settle()
+            for key in outcome.failed:
+                if key.startswith(records.JOBS):
+                    self._tell_engine(key)  # also if the row is no news to the mirror
             return
         # Our own rows first: a query answered from here must not lag behind what we act upon.
         self.mirror.apply([Row(p.key, p.value, outcome.revision) for p in batch.puts], tell=False)
@@ -505,6 +515,12 @@
 
     def submit(self, body: bytes) -> Answer:
         """Accept a job: durable before the answer."""
+        try:
+            return self._submit(body)
+        except Unavailable as bad:
+            return 503, jobs.error(str(bad))
+
+    def _submit(self, body: bytes) -> Answer:
         try:
             spec = jobs.parse_submission(body)
         except jobs.Invalid as bad:
@@ -512,9 +528,9 @@
         if not self.mirror.fresh(USER_WAIT_S):
             return 503, jobs.error("the state service does not answer")
         for _ in range(3):
-            known = self._read_record(spec.id)
+            known = self.mirror.record(spec.id)
             if known is not None:
-                return 200, jobs.state(known)
+                return 200, jobs.state(known[0])
             refusal = self._refuse(spec)
             if refusal is not None:
                 return refusal
@@ -551,6 +567,12 @@
 
     def query(self, job_id: str) -> Answer:
         """A job's state, never older than what anybody was told."""
+        try:
+            return self._query(job_id)
+        except Unavailable as bad:
+            return 503, jobs.error(str(bad))
+
+    def _query(self, job_id: str) -> Answer:
         found = self.mirror.record(job_id)
         # Done and cancelled are final: the mirror is enough for them.
         if found is None or not (found[0].cancelled or found[0].finished):
@@ -563,6 +585,12 @@
 
     def cancel(self, job_id: str) -> Answer:
         """Cancel a job: durable before the answer, and never after it was called done."""
+        try:
+            return self._cancel(job_id)
+        except Unavailable as bad:
+            return 503, jobs.error(str(bad))
+
+    def _cancel(self, job_id: str) -> Answer:
         for _ in range(6):
             if not self.mirror.fresh(USER_WAIT_S):
                 return 503, jobs.error("the state service does not answer")
--- a/bayford/coordination/relay.py
+++ b/bayford/coordination/relay.py
@@ -15,7 +15,7 @@
 from bayford.protocol import mesh, workers
 from bayford.storage import records
 from bayford.storage.mirror import Mirror
-from bayford.storage.store import Put, Row
+from bayford.storage.store import Put, Row, Unavailable
 
 SHELTER_S = 30.0
 RETURN_S = 20.0
@@ -79,8 +79,13 @@
         have = {(t.part, t.attempt): t for t in report.tasks}
         out: list[workers.Order] = []
         wanted: set[tuple[str, int]] = set()
+        complete = True
         for job_id in self._mirror.job_ids():
-            found = self._mirror.record(job_id)
+            try:
+                found = self._mirror.record(job_id)
+            except Unavailable:
+                complete = False
+                continue
             if found is None:
                 continue
             for task, attempt in found[0].open.get(place, ()):
@@ -93,7 +98,7 @@
                 elif key not in have:
                     out.append(workers.Start(part, attempt))
         for key, state in have.items():
-            if key not in wanted and state.phase == workers.ENDED:
+            if complete and key not in wanted and state.phase == workers.ENDED:
                 out.append(workers.Reap(*key))
         return out
 
--- a/bayford/storage/mirror.py
+++ b/bayford/storage/mirror.py
@@ -138,7 +138,11 @@
             return sorted((r for k, r in self._rows.items() if k.startswith(prefix)), key=lambda r: r.key)
 
     def record(self, job_id: str) -> tuple[records.Record, int] | None:
-        """A job's record and stamp as mirrored, or None if there is none."""
+        """A job's record and stamp as mirrored, or None if there is none.
+
+        Unavailable while its pieces don't belong together: a reload reads page by page, and a piece may have
+        been written between two of them. The changes that follow mend it; until then nobody may be told 404.
+        """
         base_key = records.key(job_id)
         with self._lock:
             row = self._rows.get(base_key)
@@ -151,9 +155,12 @@
             for n in range(1, records.pieces(row.value)):
                 piece = self._rows.get(f"{base_key}.{n}")
                 if piece is None:
-                    return None
+                    raise Unavailable(f"a piece of {base_key} is missing")
                 rest.append(piece.value)
-        record = records.decode(row.value, rest)
+        try:
+            record = records.decode(row.value, rest)
+        except (ValueError, TypeError, KeyError) as bad:
+            raise Unavailable(f"the pieces of {base_key} don't fit: {bad!r}") from bad
         with self._lock:
             self._records[job_id] = (row.stamp, record)
         return record, row.stamp
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -721,3 +721,31 @@
     for _ in range(30):
         node._pace()
     assert 30 / (w.clock.now - began) < 3.0 * 1.3
+
+
+def test_pieces_that_do_not_belong_together_are_answered_503_until_they_do():
+    """A reload reads page by page; a record in pieces may be written between two of them."""
+    w = quiet(machines=4, nodes=1, value_kb=0.5)
+    w.submit("n0", w.job(1, parts=400, cpus=0.1, mem_gb=0.1))
+    for _ in range(3):
+        w.step()
+    key = records.key("req-000001")
+    pieces = [k for k in w.state.rows if k.startswith(key) and k != key]
+    assert pieces
+    whole = dict(w.state.rows)
+    for torn in ({}, {pieces[0]: ("!!", whole[pieces[0]][1], None)}):
+        w.state.rows = {k: v for k, v in whole.items() if k != pieces[0]} | torn
+        node = w.boot("n0")
+        for _ in range(10):
+            w.clock.now += 1.0
+            w.state.expire()
+            w.step_node("n0")
+        assert node.query("req-000001")[0] == 503
+        assert node.submit(w.job(1, parts=400, cpus=0.1, mem_gb=0.1))[0] == 503
+        assert node.cancel("req-000001")[0] == 503
+        assert not node.engine.complete, "no owner starts anything before its view is whole"
+    w.state.rows = whole
+    w.boot("n0")
+    for _ in range(10):
+        w.step()
+    assert w.query("n0", "req-000001") == "running"
