A job that comes while a new owner reads the records is not overlooked

Cause (found by reading): rows seen between the reading of the records and the adoption were told to no owner; such a job would have waited for the next takeover. The story fails without the change.

--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -197,6 +197,10 @@
             found = [self.mirror.record(job_id) for job_id in self.mirror.job_ids()]
             late = summary.newest(self.mirror.below(records.SUMMARIES), self.wall() - SUMMARY_OLD_S)
             self.engine.adopt([f for f in found if f is not None], late)
+            # Rows that came in while the records were being read were told to no owner: look again. What
+            # the engine knows already is no news to it.
+            for job_id in self.mirror.job_ids():
+                self._tell_engine(records.key(job_id))
             for row in self.mirror.below(records.RELAYS):
                 self._on_rows([row])
             self._kick.set()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -3,6 +3,7 @@
 import pytest
 from world import World
 
+from bayford.coordination.engine import Engine
 from bayford.storage import records
 
 
@@ -749,3 +750,20 @@
     for _ in range(10):
         w.step()
     assert w.query("n0", "req-000001") == "running"
+
+
+def test_a_job_that_comes_while_a_new_owner_reads_the_records_is_not_overlooked(monkeypatch):
+    w = quiet()
+    adopt = Engine.adopt
+
+    def slow(engine, found, late_picture=None):
+        found = list(found)
+        # Seen by the mirror when there is no owner yet to be told.
+        assert w.submit("n0", w.job(1)) == 201
+        adopt(engine, found, late_picture)
+
+    monkeypatch.setattr(Engine, "adopt", slow)
+    w.boot("n0")  # its old incarnation is gone from the map at once, so it takes over here
+    for _ in range(3):
+        w.step()
+    assert running(w) == ["req-000001/0", "req-000001/1"]
