An owner writes under the map that made it owner, never under the newest one seen

Cause (found by reading): between seeing a new map and stepping down, a deposed owner used the new map's stamp as its condition, so its writes and its gate passed under another's ownership; and an answer to a write of an earlier term could mark the jobs of this one as durable. Two stories fail without the change.

--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -51,6 +51,7 @@
 
     conditions: dict[str, int]
     puts: list[Put]
+    term: int
     versions: dict[str, int]
     placements: list[tuple[str, Placement]]
 
@@ -107,6 +108,7 @@
     def _clear(self) -> None:
         self.owner = False
         self.complete = False
+        self.term = -1
         self.jobs: dict[str, Job] = {}
         self.versions: dict[str, Versions] = {}
         self.machines: dict[int, Machine] = {}
@@ -131,15 +133,19 @@
         self,
         found: Iterable[tuple[records.Record, int]],
         late_picture: dict[str, list[str]] | None = None,
+        term: int = 0,
     ) -> None:
         """Become owner: rebuild everything from the records. Nothing is placed before this is complete.
 
         `late_picture` is the last summary of the owner before: the images on each machine. It only
-        steers choices, so that it is late, or missing, does no harm.
+        steers choices, so that it is late, or missing, does no harm. `term` is the stamp of the map that
+        made us owner: every write names it. Never the stamp of the newest map seen, for that may already
+        be another's, and our writes would pass under it.
         """
         with self.lock:
             self._clear()
             self.owner = True
+            self.term = term
             self.late_picture = late_picture or {}
             now = self.owner_since = self.clock()
             for record, stamp in found:
@@ -256,7 +262,7 @@
             job.spec, job.created_wall, cancelled, job.next_attempt, records.ranges(job.done), open_
         )
 
-    def take_batch(self, map_stamp: int, ops: int) -> Batch | None:
+    def take_batch(self, ops: int) -> Batch | None:
         """The next transaction: the most urgent dirty jobs, within `ops` changes and the size limit.
 
         Conditional on the map, so a deposed owner writes nothing, and on each job's stamp, so that a
@@ -270,7 +276,7 @@
             ]
             if not self.owner or not dirty:
                 return None
-            batch = Batch({records.MAP: map_stamp}, [], {}, [])
+            batch = Batch({records.MAP: self.term}, [], self.term, {}, [])
             room = 52 * 1024
             for _, _, name in sorted(dirty):
                 job, versions = self.jobs[name], self.versions[name]
@@ -296,8 +302,8 @@
     def committed(self, batch: Batch, revision: int, began: float) -> None:
         """The batch is durable: its placements may start, its jobs may be told."""
         with self.lock:
-            if not self.owner:
-                return
+            if not self.owner or batch.term != self.term:
+                return  # its versions are those of an earlier term, and say nothing of the jobs of now
             self.verified_at = max(self.verified_at, began)
             wake = set()
             for name, place in batch.placements:
@@ -328,6 +334,8 @@
         placements stay open and unstarted.
         """
         with self.lock:
+            if batch.term != self.term:
+                return
             for name in batch.versions:
                 versions = self.versions.get(name)
                 job = self.jobs.get(name)
@@ -336,10 +344,10 @@
                 versions.flying = 0
                 self._unpark(job, versions)
 
-    def verified(self, began: float) -> None:
+    def verified(self, began: float, term: int) -> None:
         """A comparison of the map, sent at `began`, held: we were owner then."""
         with self.lock:
-            if self.owner:
+            if self.owner and term == self.term:
                 self.verified_at = max(self.verified_at, began)
 
     def _unpark(self, job: Job, versions: Versions) -> None:
@@ -399,7 +407,8 @@
                 return
             versions = self.versions[record.spec.id]
             if versions.flying:
-                versions.parked = row
+                if versions.parked is None or row.stamp > versions.parked.stamp:
+                    versions.parked = row
             elif row.stamp > job.stamp:
                 self._merge(job, versions, row)
 
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -181,22 +181,26 @@
 
     def _member_step(self) -> float:
         self.membership.step()
-        self._settle()
+        self._settle(adopt=True)
         self._publish()
         return 0.15
 
-    def _settle(self) -> None:
-        """Make the engine follow the map."""
-        mine = self.membership.is_mine() and not self.membership.behind
-        if not mine and self.engine.owner:
+    def _settle(self, adopt: bool = False) -> None:
+        """Make the engine follow the map. Only the member thread adopts: two adoptions at a time could put
+        records read before the first one's placements in place of what it has decided since."""
+        view = self.membership.view
+        mine = view.mine(self.name, self.incarnation) and not self.membership.behind
+        if self.engine.owner and not (mine and self.engine.term == view.stamp):
             self.engine.depose()
-        elif mine and not self.engine.owner:
-            # Every write that the old map allowed is in the mirror after this: the map's own write
-            # came later than all of them, and none can come after it.
+        if adopt and mine and not self.engine.owner:
+            # Every write that an older map allowed is in the mirror after this: the map's own write came
+            # later than all of them, and none can come after it.
             self.mirror.pull(0.0)
+            if self.membership.view.stamp != view.stamp:
+                return
             found = [self.mirror.record(job_id) for job_id in self.mirror.job_ids()]
             late = summary.newest(self.mirror.below(records.SUMMARIES), self.wall() - SUMMARY_OLD_S)
-            self.engine.adopt([f for f in found if f is not None], late)
+            self.engine.adopt([f for f in found if f is not None], late, view.stamp)
             # Rows that came in while the records were being read were told to no owner: look again. What
             # the engine knows already is no news to it.
             for job_id in self.mirror.job_ids():
@@ -221,12 +225,11 @@
 
     def commit_once(self) -> float:
         """One transaction, or a comparison of the map if that is wanted and nothing is dirty."""
-        view = self.membership.view
         state = self.settings.facts.state
         ops = min(state.txn_ops, int(self.writes.available()))
-        batch = self.engine.take_batch(view.stamp, ops) if ops >= 1 else None
+        batch = self.engine.take_batch(ops) if ops >= 1 else None
         if batch is None:
-            self._verify_step(view.stamp)
+            self._verify_step(self.engine.term)
             if self.engine.dirty():
                 self._commit.set()
                 return 0.06
@@ -264,15 +267,15 @@
         self.mirror.apply([Row(p.key, p.value, outcome.revision) for p in batch.puts], tell=False)
         self.engine.committed(batch, outcome.revision, began)
 
-    def _verify_step(self, stamp: int) -> None:
+    def _verify_step(self, term: int) -> None:
         """Compare the map alone: the gate of starts, and the proof that we are still owner."""
         began = self.clock()
         if not self._verify.is_set() and began - self.engine.verified_at < 2.0:
             return
         self._verify.clear()
-        outcome = self.store.commit({records.MAP: stamp}, [])
+        outcome = self.store.commit({records.MAP: term}, [])
         if outcome.applied:
-            self.engine.verified(began)
+            self.engine.verified(began, term)
             self._wake_all()
         else:
             self.mirror.pull(0.0)
@@ -370,7 +373,10 @@
         if found is None:
             return 0.0
         address, session, halts = found
-        body = self._command(address, workers.commands(self.membership.view.token, session, halts))
+        view = self.membership.view
+        if view.stamp != self.engine.term:
+            return 0.0  # not ours any more: that token is another's
+        body = self._command(address, workers.commands(view.token, session, halts))
         if body is not None:
             # Its report as of now. It settles no answer of ours that is still on its way, so `after`,
             # which closes unstarted placements, is not claimed.
@@ -454,20 +460,20 @@
 
     def _report_owned(self, report: workers.Report, arrival: float, after: float) -> Answer:
         engine = self.engine
-        token = self.membership.view.token
+        view = self.membership.view
         if self.membership.behind or arrival - max(engine.verified_at, engine.owner_since) > (
             engine.unverified_limit()
         ):
             return 503, jobs.error("not sure to be the owner still")
         for _ in range(20):
-            if engine.complete:
+            if engine.complete and engine.term == view.stamp:
                 break
             self._pause(threading.Event(), 0.1)
-        if not engine.complete:
+        if not engine.complete or engine.term != view.stamp:
             return 503, jobs.error("reading the records")
         index = engine.on_report(report, after)
         if index is None:
-            return 200, workers.answer(token, [])
+            return 200, workers.answer(view.token, [])
         event = self._ready[index] = threading.Event()
         self._kick.set()
         if engine.dirty():
@@ -489,9 +495,9 @@
                 self._pause(event, hold - waited)
             else:
                 break
-        if not self.membership.is_mine() or self.membership.view.token != token or self.membership.behind:
+        if self.membership.view.stamp != view.stamp or engine.term != view.stamp or self.membership.behind:
             return 503, jobs.error("no longer the owner")
-        return 200, workers.answer(token, orders)
+        return 200, workers.answer(view.token, orders)
 
     def _report_sheltered(self, report: workers.Report) -> Answer:
         self.relay.note(report)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -756,14 +756,58 @@
     w = quiet()
     adopt = Engine.adopt
 
-    def slow(engine, found, late_picture=None):
+    def slow(engine, found, late_picture=None, term=0):
         found = list(found)
         # Seen by the mirror when there is no owner yet to be told.
         assert w.submit("n0", w.job(1)) == 201
-        adopt(engine, found, late_picture)
+        adopt(engine, found, late_picture, term)
 
     monkeypatch.setattr(Engine, "adopt", slow)
     w.boot("n0")  # its old incarnation is gone from the map at once, so it takes over here
     for _ in range(3):
         w.step()
     assert running(w) == ["req-000001/0", "req-000001/1"]
+
+
+def test_a_deposed_owner_that_has_seen_the_new_map_does_not_write_under_its_stamp():
+    w = quiet(nodes=2)
+    old_name = w.owner()
+    old = w.nodes[old_name]
+    w.submit(old_name, w.job(1, parts=4))
+    old.mirror.pull(0.0)
+    old.engine.round()  # decided, not yet written
+    other = next(n for n in w.nodes if n != old_name)
+    assert w.nodes[other].membership.claim(other)
+    old.mirror.pull(0.0)  # the map is seen; the thread that makes the engine follow it has not run yet
+    assert old.engine.owner and not old.membership.is_mine()
+    before = w.state.rows[records.key("req-000001")]
+    worker = next(iter(w.workers.values()))
+    w.report(worker, old_name)
+    old.commit_once()
+    assert w.state.rows[records.key("req-000001")] == before
+    assert worker.running() == []
+    for _ in range(3):
+        w.step()
+    assert len(running(w)) == 4
+
+
+def test_an_answer_to_a_write_of_an_earlier_term_says_nothing_of_this_one():
+    """The same process loses the map and wins it again while a transaction is on its way."""
+    w = quiet(nodes=1)
+    node = w.nodes["n0"]
+    w.submit("n0", w.job(1, parts=4))
+    node.mirror.pull(0.0)
+    node.engine.round()
+    batch = node.engine.take_batch(12)
+    assert batch is not None
+    assert node.membership.claim("n0")
+    w.step_node("n0")  # adopted again, under the new map
+    assert node.engine.term == node.membership.view.stamp != batch.term
+    job = node.engine.jobs["req-000001"]
+    w.clock.now += 0.1
+    node.engine.committed(batch, 10**6, w.clock.now)
+    assert job.stamp < 10**6
+    assert node.engine.verified_at < w.clock.now
+    for _ in range(3):
+        w.step()
+    assert len(running(w)) == 4
