Rows that a relay left behind are no news to a later owner

Cause (found by reading): a relay that ended left its last reports in the store; a new owner took them for machines that report, and would have placed work on machines long gone until their silence was noticed.

--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -65,7 +65,7 @@
         self.mirror = Mirror(store, self._on_rows, threaded)
         teams = [t.name for t in settings.facts.teams]
         self.membership = Membership(store, self.mirror, self.name, incarnation, teams, clock)
-        self.relay = relaying.Relay(self.name, self.mirror, engine.value_bytes, clock)
+        self.relay = relaying.Relay(self.name, self.mirror, engine.value_bytes, clock, wall)
         state = settings.facts.state
         # The owner writes nearly everything; the rest is left to the other controllers' submissions.
         self.writes = Budget(state.write_rps * 0.85, max(float(state.txn_ops), state.write_rps * 0.8), clock)
@@ -117,7 +117,7 @@
                 if row.value is not None or base == row.key:
                     touched[base] = row
             elif row.key.startswith(records.RELAYS) and self.engine.owner:
-                name, reports = relaying.reports_in(row)
+                name, reports = relaying.reports_in(row, self.wall())
                 if name != self.name:
                     for report in reports:
                         self.engine.on_report(report, relay=name)
--- a/bayford/coordination/relay.py
+++ b/bayford/coordination/relay.py
@@ -21,12 +21,21 @@
 RETURN_S = 20.0
 FIRST_S = 10.0  # until the owner is tried again by a machine that lost it
 AGAIN_S = 60.0
+OLD_S = 15.0
 
 
 class Relay:
     """The machines that this controller answers on the owner's behalf."""
 
-    def __init__(self, name: str, mirror: Mirror, value_bytes: int, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        name: str,
+        mirror: Mirror,
+        value_bytes: int,
+        clock: Callable[[], float],
+        wall: Callable[[], float],
+    ) -> None:
+        self._wall = wall
         self._name = name
         self._mirror = mirror
         self._value_bytes = value_bytes
@@ -123,7 +132,8 @@
                 size = 0
             chunks[-1].append(row)
             size += length
-        puts = [Put(self._key(n), chunk) for n, chunk in enumerate(chunks)]
+        at = round(self._wall(), 1)
+        puts = [Put(self._key(n), {"at": at, "reports": chunk}) for n, chunk in enumerate(chunks)]
         puts += [Put(self._key(n), None) for n in range(len(chunks), self._keys)]
         self._keys = len(chunks)
         return puts
@@ -132,7 +142,13 @@
         return f"{records.RELAYS}{self._name}/{n}"
 
 
-def reports_in(row: Row) -> tuple[str, list[workers.Report]]:
-    """The relay's name and the reports in one of its rows."""
+def reports_in(row: Row, wall: float) -> tuple[str, list[workers.Report]]:
+    """The relay's name and the reports in one of its rows, none if they are old.
+
+    A relay that ends leaves its rows behind. A new owner that took them for news would place work on
+    machines that are long gone.
+    """
     name = row.key[len(records.RELAYS) :].partition("/")[0]
-    return name, [mesh.unpack_report(r) for r in row.value or ()]
+    if row.value is None or wall - row.value["at"] > OLD_S:
+        return name, []
+    return name, [mesh.unpack_report(r) for r in row.value["reports"]]
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -811,3 +811,23 @@
     for _ in range(3):
         w.step()
     assert len(running(w)) == 4
+
+
+def test_rows_that_a_relay_left_behind_are_no_news_to_a_later_owner():
+    w = quiet(machines=1, nodes=2)
+    owner = w.owner()
+    other = next(n for n in w.nodes if n != owner)
+    worker = next(iter(w.workers.values()))
+    w.cut.add((worker.name, owner))
+    for _ in range(3):
+        w.step(1.0)
+        w.report(worker, other)
+    assert any(k.startswith(records.RELAYS) for k in w.state.rows)
+    del w.workers[worker.name]
+    for name in list(w.nodes):
+        del w.nodes[name]
+    w.clock.now += 60.0
+    w.boot("n0")
+    for _ in range(4):
+        w.step()
+    assert not any(m.reported for m in w.nodes["n0"].engine.machines.values())
