--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -192,7 +192,7 @@
             name, _, session = place_key.rpartition(" ")
             machine = self._machine(name, now)
             for task, attempt in pairs:
-                place = Placement(task, attempt, machine.index, int(session), durable=True, placed_at=now)
+                place = Placement(task, attempt, machine.index, int(session), durable=True)
                 place.halting = job.cancelled  # the cancellation outlives the owner that saw it
                 self._book(job, machine, place)
         if not job.cancelled:
--- a/bayford/coordination/estimate.py
+++ b/bayford/coordination/estimate.py
@@ -7,14 +7,12 @@
     def __init__(self) -> None:
         self._ratio: dict[int, tuple[float, float]] = {}  # class -> weight, ratio
 
-    def ended(self, job_class: int, guess_s: float, ran_s: float) -> float:
-        """A task of the class ran `ran_s`; returns its ratio to what was expected of it."""
-        expected = self.expected(job_class, guess_s)
+    def ended(self, job_class: int, guess_s: float, ran_s: float) -> None:
+        """A task of the class ran `ran_s`."""
         if guess_s > 0:
             weight, ratio = self._ratio.get(job_class, (2.0, 1.0))
             seen = min(10.0, max(0.1, ran_s / guess_s))
             self._ratio[job_class] = (min(200.0, weight + 1.0), ratio + (seen - ratio) / (weight + 1.0))
-        return ran_s / max(expected, 0.1)
 
     def expected(self, job_class: int, guess_s: float) -> float:
         """What a task with this guess is expected to take."""
--- a/bayford/coordination/reports.py
+++ b/bayford/coordination/reports.py
@@ -90,10 +90,8 @@
         job = self.jobs[name]
         place.started = True
         if state.phase == workers.FETCHING:
-            place.fetching = True
             machine.images.setdefault(job.image, False)
         elif state.phase == workers.RUNNING:
-            place.fetching = False
             machine.images[job.image] = True
             if place.running_since is None:
                 place.running_since = now
@@ -118,8 +116,7 @@
             machine.good += 1
             machine.failed_jobs.clear()
             if place.running_since is not None:
-                ratio = self.estimates.ended(job.job_class, job.spec.estimate_s, now - place.running_since)
-                machine.speed = 0.7 * machine.speed + 0.3 * min(ratio, 10.0)
+                self.estimates.ended(job.job_class, job.spec.estimate_s, now - place.running_since)
             if job.finished:
                 log.info("job %s done after %.1f s", job.spec.id, now - job.created)
             return
--- a/bayford/coordination/rounds.py
+++ b/bayford/coordination/rounds.py
@@ -141,7 +141,7 @@
             log.debug("job %s: placed %d, %d wait", job.spec.id, placed, len(job.waiting))
 
     def _put(self, job: Job, task: int, machine: Machine, now: float) -> None:
-        place = Placement(task, job.next_attempt, machine.index, machine.session, placed_at=now)
+        place = Placement(task, job.next_attempt, machine.index, machine.session)
         job.next_attempt += 1
         self._book(job, machine, place)
         machine.images.setdefault(job.image, False)
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -100,11 +100,9 @@
     durable: bool = False  # committed: only then may its start go out
     started: bool = False  # the machine has been seen with it
     running_since: float | None = None
-    fetching: bool = False
     halting: bool = False
     halt_grace: float = 0.0
     halt_sent: bool = False  # by a direct command
-    placed_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -132,7 +130,6 @@
     errors: int = 0
     failed_on: set[int] = field(default_factory=set)
     hints: dict[int, int] = field(default_factory=dict)  # task -> machine that the balancer chose for it
-    saved: dict[int, float] = field(default_factory=dict)  # task -> seconds of progress believed saved
     why_waiting: str = ""
 
     @property
@@ -176,14 +173,12 @@
     idle_since: float = 0.0
     images: dict[int, bool] = field(default_factory=dict)  # image -> fetched (False: on its way)
     open: dict[tuple[str, int], Placement] = field(default_factory=dict)
-    strays: int = 0
     free_cpus: float = 0.0
     free_gpus: float = 0.0
     free_mem: float = 0.0
     full_until: float = 0.0
     kept_for: str = ""  # the job that room is being made for here
     kept_until: float = 0.0
-    speed: float = 1.0
 
     @property
     def usable(self) -> bool:
