One way to halt, to refuse and to write a user's record; dead code gone

The halting of a task stood in four places, the 503 for an unknown state in four, the write of a record in two; records.size, Store.get and quota.never_fits served nobody; the zones of a job's tasks were looked up in every round also for jobs without a zone rule. The two stories of a deposed owner share their start.

--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -381,8 +381,12 @@
         job.waiting.clear()
         log.info("job %s cancelled, %d tasks to stop", job.spec.id, len(job.open))
         for place in job.open.values():
-            place.halting, place.halt_grace = True, 0.0
-            self.on_halt(place.machine)
+            self._halt(place, 0.0)
+
+    def _halt(self, place: Placement, grace_s: float) -> None:
+        """Stop a task, by a direct command if its machine can be reached."""
+        place.halting, place.halt_grace = True, grace_s
+        self.on_halt(place.machine)
 
     def _retire(self, job: Job, versions: Versions) -> None:
         """Forget a job whose final record is durable; the mirror keeps that for its users."""
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -6,6 +6,8 @@
 import time
 from collections.abc import Callable
 
+import msgspec
+
 from bayford.config import Settings
 from bayford.coordination import relay as relaying
 from bayford.coordination.books import Batch
@@ -14,7 +16,6 @@
 from bayford.coordination.membership import Membership
 from bayford.protocol import jobs, mesh, workers
 from bayford.protocol.cloud_api import Cloud, CloudBusy, NoCapacity
-from bayford.scheduling import quota
 from bayford.scheduling.model import JobSpec
 from bayford.storage import records, summary
 from bayford.storage.mirror import Mirror
@@ -24,6 +25,7 @@
 
 Answer = tuple[int, bytes]
 RETRY_S = 1
+NO_STATE = "the state service does not answer"
 USER_WAIT_S = 1.2  # users give up on a poll after 2 s
 GATE_WAIT_S = 1.0
 COMMANDERS = 3
@@ -108,14 +110,14 @@
             pass  # the answer to the machine's next report carries it as well
 
     def _on_rows(self, rows: list[Row]) -> None:
-        touched: dict[str, Row] = {}
+        touched: set[str] = set()
         for row in rows:
             if row.key == records.MAP:
                 self.membership.on_map(row)
             elif row.key.startswith(records.JOBS):
                 base = row.key.partition(".")[0]
                 if row.value is not None or base == row.key:
-                    touched[base] = row
+                    touched.add(base)
             elif row.key.startswith(records.RELAYS) and self.engine.owner:
                 name, reports = relaying.reports_in(row, self.wall())
                 if name != self.name:
@@ -523,21 +525,40 @@
             return False
         return self._served() or self.clock() - self._peer_served > SERVED_S
 
-    def submit(self, body: bytes) -> Answer:
-        """Accept a job: durable before the answer."""
+    def _answered(self, call: Callable[[], Answer]) -> Answer:
+        """What can't be known or written now is answered at once: 503."""
         try:
-            return self._submit(body)
+            return call()
         except Unavailable as bad:
             return 503, jobs.error(str(bad))
 
+    def _fresh(self) -> None:
+        if not self.mirror.fresh(USER_WAIT_S):
+            raise Unavailable(NO_STATE)
+
+    def _store(self, record: records.Record, stamp: int) -> bool:
+        """Write a user's change of a record that stands at `stamp`; False if it has changed since."""
+        rows = records.encode(record, self.engine.value_bytes)
+        conditions = {records.key(record.spec.id): stamp}
+        try:
+            outcome = self.store.commit(conditions, [Put(k, v) for k, v in rows])
+        except (Unavailable, Unknown, LeaseGone) as bad:
+            raise Unavailable(NO_STATE) from bad
+        if outcome.applied:
+            self.mirror.apply([Row(k, v, outcome.revision) for k, v in rows])
+        return outcome.applied
+
+    def submit(self, body: bytes) -> Answer:
+        """Accept a job: durable before the answer."""
+        return self._answered(lambda: self._submit(body))
+
     def _submit(self, body: bytes) -> Answer:
         try:
             spec = jobs.parse_submission(body)
         except jobs.Invalid as bad:
             return 400, jobs.error(str(bad))
-        if not self.mirror.fresh(USER_WAIT_S):
-            return 503, jobs.error("the state service does not answer")
         for _ in range(3):
+            self._fresh()
             known = self.mirror.record(spec.id)
             if known is not None:
                 return 200, jobs.state(known[0])
@@ -545,16 +566,8 @@
             if refusal is not None:
                 return refusal
             record = records.Record(spec, round(self.wall(), 2))
-            rows = records.encode(record, self.engine.value_bytes)
-            try:
-                outcome = self.store.commit({records.key(spec.id): 0}, [Put(k, v) for k, v in rows])
-            except (Unavailable, Unknown, LeaseGone):
-                return 503, jobs.error("the state service does not answer")
-            if outcome.applied:
-                self.mirror.apply([Row(k, v, outcome.revision) for k, v in rows])
+            if self._store(record, 0):
                 return 201, jobs.state(record)
-            if not self.mirror.fresh(USER_WAIT_S):
-                break
         return 503, jobs.error("try again")
 
     def _refuse(self, spec: JobSpec) -> Answer | None:
@@ -564,7 +577,7 @@
         team = self.engine.teams_by.find(spec.team)
         if team is None:
             return 422, jobs.error(f"unknown team {spec.team}")
-        if quota.never_fits(self.engine.shares, team, spec):
+        if not self.engine.shares[team].could_ever(spec):
             return 422, jobs.error(f"one task needs more than the limit of team {spec.team}")
         for kind in types:
             if spec.types is not None and kind.name not in spec.types:
@@ -577,17 +590,13 @@
 
     def query(self, job_id: str) -> Answer:
         """A job's state, never older than what anybody was told."""
-        try:
-            return self._query(job_id)
-        except Unavailable as bad:
-            return 503, jobs.error(str(bad))
+        return self._answered(lambda: self._query(job_id))
 
     def _query(self, job_id: str) -> Answer:
         found = self.mirror.record(job_id)
         # Done and cancelled are final: the mirror is enough for them.
         if found is None or not (found[0].cancelled or found[0].finished):
-            if not self.mirror.fresh(USER_WAIT_S):
-                return 503, jobs.error("the state service does not answer")
+            self._fresh()
             found = self.mirror.record(job_id)
         if found is None:
             return 404, jobs.error("no such job")
@@ -595,35 +604,18 @@
 
     def cancel(self, job_id: str) -> Answer:
         """Cancel a job: durable before the answer, and never after it was called done."""
-        try:
-            return self._cancel(job_id)
-        except Unavailable as bad:
-            return 503, jobs.error(str(bad))
+        return self._answered(lambda: self._cancel(job_id))
 
     def _cancel(self, job_id: str) -> Answer:
         for _ in range(6):
-            if not self.mirror.fresh(USER_WAIT_S):
-                return 503, jobs.error("the state service does not answer")
+            self._fresh()
             found = self.mirror.record(job_id)
             if found is None:
                 return 404, jobs.error("no such job")
             record, stamp = found
             if record.cancelled or record.finished:
                 return 200, jobs.state(record)
-            changed = records.Record(
-                record.spec,
-                record.created,
-                round(self.wall(), 2),
-                record.next_attempt,
-                record.done,
-                record.open,
-            )
-            rows = records.encode(changed, self.engine.value_bytes)
-            try:
-                outcome = self.store.commit({records.key(job_id): stamp}, [Put(k, v) for k, v in rows])
-            except (Unavailable, Unknown, LeaseGone):
-                return 503, jobs.error("the state service does not answer")
-            if outcome.applied:
-                self.mirror.apply([Row(k, v, outcome.revision) for k, v in rows])
+            changed = msgspec.structs.replace(record, cancelled=round(self.wall(), 2))
+            if self._store(changed, stamp):
                 return 200, jobs.state(changed)
         return 503, jobs.error("the job changes too fast, try again")
--- a/bayford/coordination/reports.py
+++ b/bayford/coordination/reports.py
@@ -127,8 +127,7 @@
             # One task down, the gang is down: stop the others, so that all can come together again.
             for other in job.open.values():
                 if not other.halting:
-                    other.halting, other.halt_grace = True, job.spec.save_s * 1.5
-                    self.on_halt(other.machine)
+                    self._halt(other, job.spec.save_s * 1.5)
         if state.why in (workers.HALTED, workers.PEERS, workers.ALONE):
             return
         if state.why == workers.DONE:  # a service's replica: start it again, but not in a spin
--- a/bayford/coordination/rounds.py
+++ b/bayford/coordination/rounds.py
@@ -108,9 +108,8 @@
 
     def _place(self, job: Job, count: int, roomy: list[Machine], now: float) -> None:
         counts = placement.zones_open(job, self._zone)
-        if None in {self._zone(p.machine) for p in job.open.values()} and (
-            job.spec.one_zone or job.spec.spread
-        ):
+        zoned = job.spec.one_zone or job.spec.spread
+        if zoned and any(self._zone(p.machine) is None for p in job.open.values()):
             # After a takeover a machine with tasks of the job may not have been heard yet: where it
             # stands is unknown, so the zone rules can't be checked.
             job.why_waiting = "zone of a running task unknown"
@@ -133,7 +132,7 @@
                 break
             self._put(job, job.waiting.pop(), machine, now)
             placed += 1
-            if job.spec.one_zone or job.spec.spread:
+            if zoned:
                 counts = placement.zones_open(job, self._zone)
                 machines = placement.candidates(job, machines, counts, now)
         if placed:
@@ -196,11 +195,8 @@
                 owed -= 1
                 for victim in found:
                     after[victim.job.team].give(victim.job.spec)
-                    victim.place.halting = True
-                    victim.place.halt_grace = (
-                        victim.job.spec.save_s * 1.5 if victim.job.spec.checkpoint_s else 0
-                    )
-                    self.on_halt(victim.place.machine)
+                    saves = victim.job.spec.checkpoint_s > 0
+                    self._halt(victim.place, victim.job.spec.save_s * 1.5 if saves else 0.0)
                     budget -= 1
                 log.info(
                     "job %s waits: stopping %s", job.spec.id,
@@ -262,9 +258,8 @@
             for move in plan.moves:
                 moved = self._job_of(move.key)
                 place = self.machines[plan.source].open[move.key]
-                place.halting, place.halt_grace = True, moved.spec.save_s * 1.5
                 moved.hints[place.task] = move.target
-                self.on_halt(plan.source)
+                self._halt(place, moved.spec.save_s * 1.5)
             left -= len(plan.moves)
             self.moves += len(plan.moves)
             log.info(
--- a/bayford/protocol/state_api.py
+++ b/bayford/protocol/state_api.py
@@ -61,14 +61,6 @@
             raise kind(f"{method} {path}: {status} {raw[:200]!r}")
         return status, raw
 
-    def get(self, key: str) -> Row | None:
-        """Linearizable read of one key."""
-        status, raw = self._ask("GET", f"/store/{key}", ok=(200, 404))
-        if status == 404:
-            return None
-        got = orjson.loads(raw)
-        return Row(got["path"], got["v"], got["stamp"])
-
     def scan(self, prefix: str) -> tuple[list[Row], int]:
         """All rows; the revision of the first page, so that changes since then cover the later ones."""
         out: list[Row] = []
--- a/bayford/scheduling/quota.py
+++ b/bayford/scheduling/quota.py
@@ -4,7 +4,6 @@
 tasks really use can never be more than what is counted here.
 """
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 
 from bayford.scheduling.model import ARRAY, EPS, JobSpec
@@ -68,8 +67,3 @@
     def beyond(self) -> bool:
         """Whether the team borrows: it uses more than its guarantee."""
         return self.used_cpus > self.cpus + EPS or self.used_gpus > self.gpus + EPS
-
-
-def never_fits(shares: Sequence[Share], team: int, spec: JobSpec) -> bool:
-    """A job that the team's limit can never hold."""
-    return not shares[team].could_ever(spec)
--- a/bayford/storage/records.py
+++ b/bayford/storage/records.py
@@ -112,11 +112,6 @@
     return rows
 
 
-def size(record: Record) -> int:
-    """About how many bytes of value the record takes in all."""
-    return 420 + sum(24 + 14 * len(pairs) for pairs in record.open.values()) + 6 * len(record.done)
-
-
 def pieces(value: Any) -> int:
     """How many keys the record with this piece 0 has."""
     return int(value["pieces"]) if isinstance(value, dict) else 1
--- a/bayford/storage/store.py
+++ b/bayford/storage/store.py
@@ -57,9 +57,6 @@
 class Store(Protocol):
     """The state service."""
 
-    def get(self, key: str) -> Row | None:
-        """Linearizable read of one key."""
-
     def scan(self, prefix: str) -> tuple[list[Row], int]:
         """All keys with the prefix, and a revision that is no newer than any of the pages read."""
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -22,6 +22,19 @@
     return sorted(p for worker in w.workers.values() for p in worker.running())
 
 
+def deposed_with_work() -> tuple[World, str, str]:
+    """A world, its old owner that has decided something but not written it, and the new owner."""
+    w = quiet(nodes=2)
+    old_name = w.owner()
+    old = w.nodes[old_name]
+    w.submit(old_name, w.job(1, parts=4))
+    old.mirror.pull(0.0)
+    old.engine.round()
+    other = next(n for n in w.nodes if n != old_name)
+    assert w.nodes[other].membership.claim(other)
+    return w, old_name, other
+
+
 def test_a_job_runs_and_is_called_done():
     w = quiet()
     assert w.submit("n0", w.job(1, parts=3)) == 201
@@ -146,14 +159,8 @@
 
 
 def test_a_deposed_owner_can_neither_write_nor_start():
-    w = quiet(nodes=2)
-    old_name = w.owner()
+    w, old_name, other = deposed_with_work()
     old = w.nodes[old_name]
-    w.submit(old_name, w.job(1, parts=4))
-    old.mirror.pull(0.0)
-    old.engine.round()  # decided, not yet written
-    other = next(n for n in w.nodes if n != old_name)
-    assert w.nodes[other].membership.claim(other)
     w.step_node(other)
     worker = next(iter(w.workers.values()))
     w.report(worker, old_name)  # the old owner does not know yet
@@ -770,14 +777,8 @@
 
 
 def test_a_deposed_owner_that_has_seen_the_new_map_does_not_write_under_its_stamp():
-    w = quiet(nodes=2)
-    old_name = w.owner()
+    w, old_name, other = deposed_with_work()
     old = w.nodes[old_name]
-    w.submit(old_name, w.job(1, parts=4))
-    old.mirror.pull(0.0)
-    old.engine.round()  # decided, not yet written
-    other = next(n for n in w.nodes if n != old_name)
-    assert w.nodes[other].membership.claim(other)
     old.mirror.pull(0.0)  # the map is seen; the thread that makes the engine follow it has not run yet
     assert old.engine.owner and not old.membership.is_mine()
     before = w.state.rows[records.key("req-000001")]
--- a/tests/world.py
+++ b/tests/world.py
@@ -149,11 +149,6 @@
             raise Unavailable("503")
         self.state.expire()
 
-    def get(self, key: str) -> Row | None:
-        self._check()
-        row = self.state.rows.get(key)
-        return None if row is None else Row(key, row[0], row[1])
-
     def scan(self, prefix: str) -> tuple[list[Row], int]:
         self._check()
         rows = [Row(k, v, s) for k, (v, s, _) in sorted(self.state.rows.items()) if k.startswith(prefix)]
