--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -7,13 +7,15 @@
 import random
 import threading
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
 
 from bayford.config import Settings
 from bayford.coordination import estimate
 from bayford.protocol import workers
 from bayford.scheduling import fleet
 from bayford.scheduling.model import (
+    EPS,
     SERVICE,
     SERVICE_RUN_S,
     URGENT,
@@ -26,42 +28,28 @@
 from bayford.scheduling.policy import Policy
 from bayford.scheduling.quota import Share
 from bayford.storage import records
-from bayford.storage.store import Put, Row
+from bayford.storage.ledger import Ledger, Progress, RowMaker
+from bayford.storage.store import Put
 
 log = logging.getLogger("bayford.engine")
 
 Key = tuple[str, int]  # task name, attempt
-
-
-@dataclass(slots=True)
-class Versions:
-    """Which state of a job is in memory, being written and durable."""
-
-    now: int = 1
-    flying: int = 0  # the version in a transaction without an answer yet
-    durable: int = 0
-    parked: Row | None = None  # a row seen while a transaction was under way
-    urgent: bool = False
-    dirty_since: float = 0.0
+TRANSACTION_BYTES = 48 * 1024  # of the 64 KiB that the state service takes, rows and records beside them
 
 
 @dataclass(slots=True)
 class Batch:
     """One transaction of the group commit and what it makes durable."""
 
-    conditions: dict[str, int]
-    puts: list[Put]
     term: int
-    versions: dict[str, int]
-    placements: list[tuple[str, Placement]]
-
+    conditions: dict[str, int]
+    puts: list[Put] = field(default_factory=list)
+    tasks: dict[str, set[int]] = field(default_factory=dict)
+    placements: list[Placement] = field(default_factory=list)
+    over: list[str] = field(default_factory=list)
 
-@dataclass(slots=True)
-class Seen:
-    """What the last report of a machine said of one attempt."""
 
-    phase: str
-    version: int = 0  # of the job, when its placement was closed by this
+T = TypeVar("T")
 
 
 class Books:
@@ -94,8 +82,8 @@
         # Called under the lock, so they must be short and take no lock of ours.
         self.on_ready: Callable[[int], None] = lambda machine: None
         self.on_halt: Callable[[int], None] = lambda machine: None
-        # The mirrored record of a job.
-        self.read_record: Callable[[str], records.Record | None] = lambda job_id: None
+        # Runs something short on the mirror's ledger.
+        self.with_ledger: Callable[[Callable[[Ledger], Any]], Any] = lambda call: None
         self.refused: dict[fleet.Option, float] = {}
         # When the users want a class done: the aims of the settings, for jobs without a deadline.
         self.targets = {
@@ -110,9 +98,17 @@
         self.complete = False
         self.term = -1
         self.jobs: dict[str, Job] = {}
-        self.versions: dict[str, Versions] = {}
+        # Tasks whose state here is newer than the ledger's, the ones in a transaction without an answer
+        # yet, and the jobs that are over and have still to be closed there.
+        self.dirty: dict[str, set[int]] = {}
+        self.flying: dict[str, set[int]] = {}
+        self.ending: dict[str, None] = {}
+        self.next_attempt = 1
         self.machines: dict[int, Machine] = {}
-        self.seen: dict[int, dict[Key, Seen]] = {}
+        self.roomy: dict[int, Machine] = {}  # those with some CPU free
+        self.noticed: dict[int, Machine] = {}  # those that the cloud is about to take
+        self.halting: dict[Placement, None] = {}
+        self.seen: dict[int, dict[Key, str]] = {}  # what the last report said: phase of each attempt
         self.gone: set[str] = set()
         self.shares = [
             Share(t.name, t.cpus, t.cpus_max, t.gpus, t.gpus_max) for t in self.settings.facts.teams
@@ -126,12 +122,16 @@
         self.refusals = 0
         self.starts = 0
         self.balanced_at = -1e18
+        self.balance_asked = 0  # rounds in which work waited although its team has room
+        self.balance_tried = 0  # jobs in them for which moves were looked for
+        self.preempt_at = -1e18
         self.moves = 0
         self.dear_serves = True
 
     def adopt(
         self,
-        found: Iterable[tuple[records.Record, int]],
+        found: Iterable[tuple[records.Record, int, Progress | None]],
+        next_attempt: int = 1,
         late_picture: dict[str, list[str]] | None = None,
         term: int = 0,
     ) -> None:
@@ -146,10 +146,11 @@
             self._clear()
             self.owner = True
             self.term = term
+            self.next_attempt = next_attempt
             self.late_picture = late_picture or {}
             now = self.owner_since = self.clock()
-            for record, stamp in found:
-                self._load(record, stamp, now)
+            for record, stamp, progress in found:
+                self._load(record, stamp, now, progress)
             self.complete = True
             log.info("owner of %d open jobs on %d machines", len(self.jobs), len(self.machines))
 
@@ -160,14 +161,16 @@
                 log.info("no longer owner")
             self._clear()
 
-    def _load(self, record: records.Record, stamp: int, now: float) -> None:
+    def _load(
+        self, record: records.Record, stamp: int, now: float, progress: Progress | None = None
+    ) -> Job | None:
         spec = record.spec
-        if (record.cancelled or record.finished) and not record.open:
-            return
+        if record.over and (progress is None or not progress.open):
+            return None
         team = self.teams_by.find(spec.team)
         if team is None:  # the settings lost a team: its tasks still count for nobody, say so
             log.error("job %s: team %s is not in the settings", spec.id, spec.team)
-            return
+            return None
         wall = self.wall()
         job = Job(
             spec,
@@ -178,27 +181,32 @@
             None if spec.types is None else frozenset(self.types_by.index(t) for t in spec.types),
             now - (wall - record.created),
             record.created,
-            records.unrange(record.done),
-            next_attempt=record.next_attempt,
+            set(progress.done) if progress is not None else set(),
             stamp=stamp,
+            begun=progress is not None,
         )
         if record.cancelled:
             job.cancelled = True
             job.cancel_known = now
             job.cancelled_at = now - max(0.0, wall - record.cancelled)
         self.jobs[spec.id] = job
-        self.versions[spec.id] = Versions(now=1, durable=1)
-        for place_key, pairs in record.open.items():
-            name, _, session = place_key.rpartition(" ")
+        for task, (attempt, name, session) in progress.open.items() if progress is not None else ():
             machine = self._machine(name, now)
-            for task, attempt in pairs:
-                place = Placement(task, attempt, machine.index, int(session), durable=True)
-                place.halting = job.cancelled  # the cancellation outlives the owner that saw it
-                self._book(job, machine, place)
+            place = self._placement(job, task, attempt, machine, session)
+            place.durable = True
+            self._book(job, machine, place)
+            if job.cancelled:  # the cancellation outlives the owner that saw it
+                self._halt(place, 0.0)
         if not job.cancelled:
             job.waiting = [
                 t for t in range(spec.tasks - 1, -1, -1) if t not in job.done and t not in job.open
             ]
+        self._settle_job(job)
+        return job
+
+    def _placement(self, job: Job, task: int, attempt: int, machine: Machine, session: int) -> Placement:
+        part = workers.task_name(job.spec.id, task)
+        return Placement(job, task, attempt, machine.index, session, part)
 
     def _machine(self, name: str, now: float) -> Machine:
         index = self.machines_by.index(name)
@@ -222,17 +230,22 @@
         machine.free_cpus += kind.cpus  # what is booked already was subtracted from 0
         machine.free_gpus += kind.gpus
         machine.free_mem += kind.mem_gb
+        self._note_room(machine)
+
+    def _note_room(self, machine: Machine) -> None:
+        if machine.free_cpus > EPS or machine.free_gpus > EPS:
+            self.roomy[machine.index] = machine
+        else:
+            self.roomy.pop(machine.index, None)
 
     def _book(self, job: Job, machine: Machine, place: Placement) -> None:
         job.open[place.task] = place
-        machine.open[(workers.task_name(job.spec.id, place.task), place.attempt)] = place
+        machine.open[place.key] = place
         machine.idle_since = 0.0
         machine.take(job.spec)
+        self._note_room(machine)
         self.shares[job.team].take(job.spec)
 
-    def _job_of(self, key: Key) -> Job:
-        return self.jobs[workers.split_task(key[0])[0]]  # type: ignore[index]
-
     def _zone(self, machine: int) -> int | None:
         found = self.machines.get(machine)
         return None if found is None else found.zone
@@ -243,106 +256,117 @@
             return SERVICE_RUN_S
         return self.estimates.expected(job.job_class, job.spec.estimate_s)
 
-    def _touch(self, job: Job, urgent: bool = False) -> None:
-        versions = self.versions[job.spec.id]
-        if versions.now == versions.durable or not versions.dirty_since:
-            versions.dirty_since = self.clock()
-        versions.now += 1
-        versions.urgent = versions.urgent or urgent
+    def _touch(self, job: Job, task: int) -> None:
+        """The task's state has changed and has to be written."""
+        self.dirty.setdefault(job.spec.id, set()).add(task)
 
-    def _record(self, job: Job) -> records.Record:
-        open_: records.Open = {}
-        for place in job.open.values():
-            where = f"{self.machines_by[place.machine]} {place.session}"
-            open_.setdefault(where, []).append([place.task, place.attempt])
-        cancelled = 0.0
-        if job.cancelled:
-            cancelled = self.wall() - (self.clock() - job.cancelled_at)
-        return records.Record(
-            job.spec, job.created_wall, cancelled, job.next_attempt, records.ranges(job.done), open_
-        )
+    def unsettled(self, job_id: str, task: int) -> bool:
+        """Whether the last change of the task is not durable yet."""
+        return task in self.dirty.get(job_id, ()) or task in self.flying.get(job_id, ())
 
     def take_batch(self, ops: int) -> Batch | None:
-        """The next transaction: the most urgent dirty jobs, within `ops` changes and the size limit.
+        """The next transaction: rows of the ledger with what has changed, urgent work first, and the records
+        of jobs that are complete, within `ops` changes and the size limit.
 
-        Conditional on the map, so a deposed owner writes nothing, and on each job's stamp, so that a
-        transaction that was given up on and comes late can't overwrite what came after it.
+        Conditional on the map, so a deposed owner writes nothing; on the slots that the rows take, so a
+        transaction that was given up on and comes late can't be applied beside what came after it; and on
+        the records, so that nobody's cancellation is overwritten.
         """
         with self.lock:
-            dirty = [
-                (not v.urgent, v.dirty_since, name)
-                for name, v in self.versions.items()
-                if v.now > v.durable and not v.flying
-            ]
-            if not self.owner or not dirty:
+            if not self.owner or not self.complete or not (self.dirty or self.ending) or self.flying:
                 return None
-            batch = Batch({records.MAP: self.term}, [], self.term, {}, [])
-            room = 52 * 1024
-            for _, _, name in sorted(dirty):
-                job, versions = self.jobs[name], self.versions[name]
-                rows = records.encode(self._record(job), self.value_bytes)
-                size = sum(len(str(v)) + 80 for _, v in rows)
-                drops = [f"{records.key(name)}.{n}" for n in range(len(rows), job.pieces)]
-                if batch.puts and (len(batch.puts) + len(rows) + len(drops) > ops or size > room):
-                    if versions.urgent:
-                        break
-                    continue
-                job.pieces = len(rows)
-                batch.conditions[records.key(name)] = job.stamp
-                batch.puts += [Put(k, v) for k, v in rows] + [Put(k, None) for k in drops]
-                batch.versions[name] = versions.now
-                batch.placements += [(name, p) for p in job.open.values() if not p.durable]
-                versions.flying = versions.now
-                versions.urgent = False
-                room -= size
-                if len(batch.puts) >= ops:
-                    break
+            batch: Batch = self.with_ledger(lambda ledger: self._fill(ledger, ops))
             return batch
 
-    def committed(self, batch: Batch, revision: int, began: float) -> None:
+    def _fill(self, ledger: Ledger, ops: int) -> Batch:
+        batch = Batch(self.term, {records.MAP: self.term})
+        tail = ledger.dead_before()
+        makers = [RowMaker(ledger, ledger.next, tail, self.next_attempt)]
+        rows = max(1, min(ops, TRANSACTION_BYTES // self.value_bytes))
+        names = [n for n in self.dirty if self.jobs[n].spec.priority >= URGENT]
+        names += [n for n in self.dirty if self.jobs[n].spec.priority < URGENT]
+        for name in names:
+            job = self.jobs[name]
+            taken = set()
+            for task in self.dirty[name]:
+                place = job.open.get(task)
+                machine = "" if place is None else self.machines_by[place.machine]
+                if not makers[-1].room(name, machine):
+                    if len(makers) >= rows:
+                        break
+                    makers.append(RowMaker(ledger, ledger.next + len(makers), tail, self.next_attempt))
+                taken.add(task)
+                if place is not None:
+                    makers[-1].opened(name, task, place.attempt, machine, place.session)
+                    batch.placements.append(place)
+                elif task in job.done:
+                    makers[-1].done(name, task)
+                else:
+                    makers[-1].closed(name, task)
+            if taken:
+                batch.tasks[name] = taken
+        for name in list(self.ending):
+            job = self.jobs[name]
+            if len(makers) + len(batch.puts) >= ops or not makers[-1].room(name):
+                break
+            if self.dirty.get(name, set()) - batch.tasks.get(name, set()):
+                continue  # some of its changes had no room: not before they are written
+            if not job.cancelled:
+                final = records.Record(job.spec, job.created_wall, 0.0, True, len(job.done))
+                batch.conditions[records.key(name)] = job.stamp
+                batch.puts.append(Put(records.key(name), records.encode(final)))
+            makers[-1].over(name)
+            batch.over.append(name)
+        makers[0].snapshots()
+        for maker, (slot, stamp) in zip(makers, ledger.slots(len(makers)), strict=True):
+            batch.conditions[slot] = stamp
+            batch.puts.append(Put(slot, maker.finish()))
+        for name, tasks in batch.tasks.items():
+            self.flying[name] = tasks
+            left = self.dirty[name] - tasks
+            if left:
+                self.dirty[name] = left
+            else:
+                del self.dirty[name]
+        for name in batch.over:
+            self.flying.setdefault(name, set())
+            del self.ending[name]
+        return batch
+
+    def committed(self, batch: Batch, began: float) -> None:
         """The batch is durable: its placements may start, its jobs may be told."""
         with self.lock:
             if not self.owner or batch.term != self.term:
-                return  # its versions are those of an earlier term, and say nothing of the jobs of now
+                return  # it is of an earlier term, and says nothing of the jobs of now
             self.verified_at = max(self.verified_at, began)
+            self.flying.clear()
             wake = set()
-            for name, place in batch.placements:
-                job = self.jobs.get(name)
-                if job is not None and job.open.get(place.task) is place:
+            for place in batch.placements:
+                if place.job.open.get(place.task) is place:
                     place.durable = True
                     wake.add(place.machine)
-            for name, version in batch.versions.items():
-                job = self.jobs.get(name)
-                if job is None:
-                    continue
-                versions = self.versions[name]
-                versions.flying = 0
-                versions.durable = version
-                if versions.now == version:
-                    versions.dirty_since = 0.0
-                job.stamp = max(job.stamp, revision)
-                self._unpark(job, versions)
-                self._retire(job, versions)
+            for name in batch.over:
+                self.jobs.pop(name, None)
             for index in wake:
                 self.on_ready(index)
 
     def not_committed(self, batch: Batch) -> None:
-        """Refused, conflicting or unanswered: everything in it is dirty again.
+        """Refused, conflicting or unanswered: everything in it is to be written again.
 
-        After no answer the transaction may still be applied; then the next one conflicts, the row that
-        it wrote is read and its stamp taken over. Until one of ours is known to have been applied, its
-        placements stay open and unstarted.
+        After no answer the transaction may still be applied; then the next one conflicts at the slot, and
+        once that row is read the next goes after it. It says the same things once more, which does no harm.
+        Until one of ours is known to have been applied, its placements stay open and unstarted.
         """
         with self.lock:
             if batch.term != self.term:
                 return
-            for name in batch.versions:
-                versions = self.versions.get(name)
-                job = self.jobs.get(name)
-                if versions is None or job is None:
-                    continue
-                versions.flying = 0
-                self._unpark(job, versions)
+            for name, tasks in self.flying.items():
+                if name in self.jobs and tasks:
+                    self.dirty.setdefault(name, set()).update(tasks)
+            self.flying.clear()
+            for name in batch.over:
+                if name in self.jobs:
+                    self.ending[name] = None
 
     def verified(self, began: float, term: int) -> None:
         """A comparison of the map, sent at `began`, held: we were owner then."""
@@ -350,29 +374,6 @@
             if self.owner and term == self.term:
                 self.verified_at = max(self.verified_at, began)
 
-    def _unpark(self, job: Job, versions: Versions) -> None:
-        row, versions.parked = versions.parked, None
-        if row is not None and row.stamp > job.stamp:
-            self._merge(job, versions, row)
-
-    def _merge(self, job: Job, versions: Versions, row: Row) -> None:
-        """Somebody else's write of a job of ours: a cancellation, or a transaction given up on."""
-        record = self.read_record(job.spec.id)
-        if record is None:
-            # Not whole yet. Its stamp must not be taken over unread: our next write would pass and wipe
-            # out the cancellation that it may hold. Unread, that write conflicts, and this is tried again.
-            return
-        job.stamp = row.stamp
-        job.pieces = max(job.pieces, records.pieces(row.value))
-        versions.now += 1
-        if not versions.dirty_since:
-            versions.dirty_since = self.clock()
-        if record.cancelled and not job.cancelled:
-            self._cancel(job, record.cancelled)
-            if not job.open and not record.open:  # the record is final as it stands
-                versions.durable = versions.now
-                self._retire(job, versions)
-
     def _cancel(self, job: Job, wall_at: float) -> None:
         now = self.clock()
         job.cancelled = True
@@ -382,50 +383,57 @@
         log.info("job %s cancelled, %d tasks to stop", job.spec.id, len(job.open))
         for place in job.open.values():
             self._halt(place, 0.0)
+        self._settle_job(job)
 
     def _halt(self, place: Placement, grace_s: float) -> None:
         """Stop a task, by a direct command if its machine can be reached."""
         place.halting, place.halt_grace = True, grace_s
+        self.halting[place] = None
         self.on_halt(place.machine)
 
-    def _retire(self, job: Job, versions: Versions) -> None:
-        """Forget a job whose final record is durable; the mirror keeps that for its users."""
-        over = job.cancelled or job.finished
-        if over and not job.open and versions.now == versions.durable and not versions.flying:
-            self.jobs.pop(job.spec.id, None)
-            self.versions.pop(job.spec.id, None)
+    def _settle_job(self, job: Job) -> None:
+        """If the job is over and on no machine, have it closed in the ledger; the mirror keeps its record."""
+        if not job.open and (job.cancelled or job.finished):
+            self.ending[job.spec.id] = None
 
-    def on_row(self, row: Row, record: records.Record) -> None:
-        """A job's row changed in the store."""
+    def on_row(self, record: records.Record, stamp: int) -> None:
+        """A job's record changed in the store."""
         with self.lock:
             if not self.owner or not self.complete:
                 return
-            job = self.jobs.get(record.spec.id)
+            spec = record.spec
+            job = self.jobs.get(spec.id)
             if job is None:
-                self._load(record, row.stamp, self.clock())
-                if record.spec.id in self.jobs:
-                    spec = record.spec
+                if not record.over and self._load(record, stamp, self.clock()) is not None:
                     if spec.priority >= URGENT:
                         self.urgent_jobs = self.urgent_jobs[-20:] + [(self.clock(), spec.cpus * spec.tasks)]
-                    log.info("job %s accepted: %d tasks", record.spec.id, record.spec.tasks)
+                    log.info("job %s accepted: %d tasks", spec.id, spec.tasks)
+                return
+            if stamp <= job.stamp:
                 return
-            versions = self.versions[record.spec.id]
-            if versions.flying:
-                if versions.parked is None or row.stamp > versions.parked.stamp:
-                    versions.parked = row
-            elif row.stamp > job.stamp:
-                self._merge(job, versions, row)
-
-    def _close(self, machine: Machine, key: Key, place: Placement, job: Job, now: float) -> None:
+            job.stamp = stamp
+            if record.finished:
+                # Our own write, whose answer was lost: the rows beside it closed the job as well.
+                for held in (self.jobs, self.dirty, self.flying, self.ending):
+                    held.pop(spec.id, None)
+            elif record.cancelled and not job.cancelled:
+                self._cancel(job, record.cancelled)
+
+    def _close(self, machine: Machine, place: Placement, now: float) -> None:
         """Only ever called on evidence: ended, a later session, cancelled and absent, machine deleted."""
-        del machine.open[key]
+        job = place.job
+        del machine.open[place.key]
+        self.halting.pop(place, None)
         if job.open.get(place.task) is place:
             del job.open[place.task]
         machine.give(job.spec)
+        self._note_room(machine)
         self.shares[job.team].give(job.spec)
         if not machine.open:
             machine.idle_since = now
-        self._touch(job, urgent=job.spec.priority >= URGENT or not (job.waiting or job.open))
+        self._touch(job, place.task)
+        if job.cancelled:
+            self._settle_job(job)
 
     def unverified_limit(self) -> float:
         """How long an owner that can't reach the state service may go on answering reports.
@@ -436,10 +444,13 @@
         facts = self.settings.facts.workers
         return max(0.0, facts.cancel_s - facts.lease_s - 5.0)
 
-    def dirty(self) -> int:
-        """How many jobs wait for a write."""
-        with self.lock:
-            return sum(1 for v in self.versions.values() if v.now > v.durable and not v.flying)
+    def has_news(self) -> bool:
+        """Whether something waits to be written."""
+        return bool(self.dirty or self.ending)
+
+    def endings(self) -> int:
+        """How many jobs wait to be called done, or closed."""
+        return len(self.ending)
 
     def summary(self) -> list[tuple[str, float, list[str]]]:
         """What this controller tells the others now and then: name, load and images of its machines."""
--- a/bayford/coordination/budget.py
+++ b/bayford/coordination/budget.py
@@ -27,6 +27,12 @@
             self._fill()
             return self._have
 
+    def wait_s(self, count: float) -> float:
+        """How long until so much is there."""
+        with self._lock:
+            self._fill()
+            return max(0.0, (count - self._have) / self.rate)
+
     def take(self, count: float) -> None:
         """Take, going into debt if need be: what was sent has been sent."""
         with self._lock:
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -29,6 +29,8 @@
 USER_WAIT_S = 1.2  # users give up on a poll after 2 s
 GATE_WAIT_S = 1.0
 COMMANDERS = 3
+ENDINGS = 3
+COMMIT_GAP_S = 0.05  # between two transactions, that the next one carries more
 SERVED_S = 3.0
 TELL_S = 15.0  # how often the log says who waits and why
 SUMMARY_OLD_S = 180.0  # an older summary says nothing about the machines of now
@@ -64,13 +66,14 @@
         self.clock = clock
         self.wall = wall
         self.name = settings.member
-        self.mirror = Mirror(store, self._on_rows, threaded)
+        self.mirror = Mirror(store, engine.value_bytes, self._on_rows, threaded)
         teams = [t.name for t in settings.facts.teams]
         self.membership = Membership(store, self.mirror, self.name, incarnation, teams, clock)
         self.relay = relaying.Relay(self.name, self.mirror, engine.value_bytes, clock, wall)
         state = settings.facts.state
-        # The owner writes nearly everything; the rest is left to the other controllers' submissions.
-        self.writes = Budget(state.write_rps * 0.85, max(float(state.txn_ops), state.write_rps * 0.8), clock)
+        # One change carries what has happened in a tenth of a second; the rest is left to the other
+        # controllers' submissions, each a change of its own.
+        self.writes = Budget(state.write_rps * 0.7, max(float(state.txn_ops), state.write_rps * 0.7), clock)
         cloud_rps = settings.facts.cloud.rps
         self.calls = Budget(cloud_rps * 0.8, max(1.0, cloud_rps), clock)  # only the owner calls much
         self._kick = threading.Event()
@@ -83,20 +86,12 @@
         self._summary_keys = 0
         self._unreachable: set[str] = set()
         self._peer_served = -1e18  # when a peer last said that the state service serves it
-        engine.read_record = self._read_record
+        engine.with_ledger = self.mirror.with_ledger
         engine.on_ready = self._on_ready
         engine.on_halt = self._on_halt
 
     # -- hooks -----------------------------------------------------------------------------------------
 
-    def _read_record(self, job_id: str) -> records.Record | None:
-        try:
-            found = self.mirror.record(job_id)
-        except Unavailable as bad:
-            log.info("%s", bad)
-            return None
-        return None if found is None else found[0]
-
     def _on_ready(self, machine: int) -> None:
         event = self._ready.get(machine)
         if event is not None:
@@ -110,33 +105,29 @@
             pass  # the answer to the machine's next report carries it as well
 
     def _on_rows(self, rows: list[Row]) -> None:
-        touched: set[str] = set()
+        jobs_touched = False
         for row in rows:
             if row.key == records.MAP:
                 self.membership.on_map(row)
             elif row.key.startswith(records.JOBS):
-                base = row.key.partition(".")[0]
-                if row.value is not None or base == row.key:
-                    touched.add(base)
+                if self.engine.owner:
+                    jobs_touched = True
+                    self._tell_engine(row)
             elif row.key.startswith(records.RELAYS) and self.engine.owner:
                 name, reports = relaying.reports_in(row, self.wall())
                 if name != self.name:
                     for report in reports:
                         self.engine.on_report(report, relay=name)
                     self._kick.set()
-        if not self.engine.owner:
-            return
-        for base in touched:
-            self._tell_engine(base)
-        if touched:
+        if jobs_touched:
             self._kick.set()
             self._commit.set()
 
-    def _tell_engine(self, base: str) -> None:
-        # If the record is not whole, the change that completes it brings us here again.
-        row, record = self.mirror.get(base), self._read_record(base[len(records.JOBS) :])
-        if row is not None and record is not None:
-            self.engine.on_row(row, record)
+    def _tell_engine(self, row: Row) -> None:
+        try:
+            self.engine.on_row(records.decode(row.value), row.stamp)
+        except records.Unreadable as bad:
+            log.error("%s: %s", row.key, bad)
 
     # -- threads ---------------------------------------------------------------------------------------
 
@@ -200,13 +191,14 @@
             self.mirror.pull(0.0)
             if self.membership.view.stamp != view.stamp:
                 return
-            found = [self.mirror.record(job_id) for job_id in self.mirror.job_ids()]
             late = summary.newest(self.mirror.below(records.SUMMARIES), self.wall() - SUMMARY_OLD_S)
-            self.engine.adopt([f for f in found if f is not None], late, view.stamp)
+            read_at = self.mirror.revision
+            attempt = self.mirror.with_ledger(lambda ledger: ledger.next_attempt)
+            self.engine.adopt(self.mirror.open_jobs(), attempt, late, view.stamp)
             # Rows that came in while the records were being read were told to no owner: look again. What
             # the engine knows already is no news to it.
-            for job_id in self.mirror.job_ids():
-                self._tell_engine(records.key(job_id))
+            for row in self.mirror.jobs_since(read_at):
+                self._tell_engine(row)
             for row in self.mirror.below(records.RELAYS):
                 self._on_rows([row])
             self._kick.set()
@@ -228,19 +220,20 @@
     def commit_once(self) -> float:
         """One transaction, or a comparison of the map if that is wanted and nothing is dirty."""
         state = self.settings.facts.state
-        ops = min(state.txn_ops, int(self.writes.available()))
-        batch = self.engine.take_batch(ops) if ops >= 1 else None
+        # A row, and a record of each job that is complete: these must not wait for a burst to be saved up.
+        wanted = min(state.txn_ops, 1 + min(ENDINGS, self.engine.endings()))
+        if self.engine.has_news() and self.writes.available() < wanted:
+            self._commit.set()
+            return self.writes.wait_s(wanted)
+        batch = self.engine.take_batch(min(state.txn_ops, int(self.writes.available())))
         if batch is None:
             self._verify_step(self.engine.term)
-            if self.engine.dirty():
-                self._commit.set()
-                return 0.06
             return 0.0
         self.writes.take(len(batch.puts))
         self._write(batch)
-        if self.engine.dirty():
+        if self.engine.has_news():
             self._commit.set()
-        return 0.04
+        return max(COMMIT_GAP_S, self.writes.wait_s(1.0))
 
     def _write(self, batch: Batch) -> None:
         began = self.clock()
@@ -262,12 +255,13 @@
                 log.info("deposed: the map has changed")
                 self._settle()
             for key in outcome.failed:
-                if key.startswith(records.JOBS):
-                    self._tell_engine(key)  # also if the row is no news to the mirror
+                row = self.mirror.get(key)
+                if row is not None and key.startswith(records.JOBS):
+                    self._tell_engine(row)  # also if it is no news to the mirror
             return
         # Our own rows first: a query answered from here must not lag behind what we act upon.
         self.mirror.apply([Row(p.key, p.value, outcome.revision) for p in batch.puts], tell=False)
-        self.engine.committed(batch, outcome.revision, began)
+        self.engine.committed(batch, began)
 
     def _verify_step(self, term: int) -> None:
         """Compare the map alone: the gate of starts, and the proof that we are still owner."""
@@ -292,7 +286,7 @@
             self._kick.clear()
         if self.engine.owner:
             self.engine.round()
-            if self.engine.dirty():
+            if self.engine.has_news():
                 self._commit.set()
         return 0.08
 
@@ -478,7 +472,7 @@
             return 200, workers.answer(view.token, [])
         event = self._ready[index] = threading.Event()
         self._kick.set()
-        if engine.dirty():
+        if engine.has_news():
             self._commit.set()
         hold = engine.hold_s(index)
         while True:
@@ -538,14 +532,13 @@
 
     def _store(self, record: records.Record, stamp: int) -> bool:
         """Write a user's change of a record that stands at `stamp`; False if it has changed since."""
-        rows = records.encode(record, self.engine.value_bytes)
-        conditions = {records.key(record.spec.id): stamp}
+        key, value = records.key(record.spec.id), records.encode(record)
         try:
-            outcome = self.store.commit(conditions, [Put(k, v) for k, v in rows])
+            outcome = self.store.commit({key: stamp}, [Put(key, value)])
         except (Unavailable, Unknown, LeaseGone) as bad:
             raise Unavailable(NO_STATE) from bad
         if outcome.applied:
-            self.mirror.apply([Row(k, v, outcome.revision) for k, v in rows])
+            self.mirror.apply([Row(key, value, outcome.revision)])
         return outcome.applied
 
     def submit(self, body: bytes) -> Answer:
@@ -559,17 +552,24 @@
             return 400, jobs.error(str(bad))
         for _ in range(3):
             self._fresh()
-            known = self.mirror.record(spec.id)
+            known = self.mirror.state(spec.id)
             if known is not None:
-                return 200, jobs.state(known[0])
+                return 200, jobs.answer(known)
             refusal = self._refuse(spec)
             if refusal is not None:
                 return refusal
-            record = records.Record(spec, round(self.wall(), 2))
+            record = records.Record(self._trimmed(spec), round(self.wall(), 2))
             if self._store(record, 0):
-                return 201, jobs.state(record)
+                return 201, jobs.answer(records.State(record, 0))
         return 503, jobs.error("try again")
 
+    def _trimmed(self, spec: JobSpec) -> JobSpec:
+        """The job without machine types that the cloud does not have, so that no record outgrows a value."""
+        if spec.types is None:
+            return spec
+        known = {kind.name for kind in self.engine.catalog()}
+        return msgspec.structs.replace(spec, types=sorted(known & set(spec.types)))
+
     def _refuse(self, spec: JobSpec) -> Answer | None:
         types = self.engine.catalog()
         if not types:
@@ -593,14 +593,14 @@
         return self._answered(lambda: self._query(job_id))
 
     def _query(self, job_id: str) -> Answer:
-        found = self.mirror.record(job_id)
+        found = self.mirror.state(job_id) if self.mirror.knows(job_id) else None
         # Done and cancelled are final: the mirror is enough for them.
-        if found is None or not (found[0].cancelled or found[0].finished):
+        if found is None or not found.record.over:
             self._fresh()
-            found = self.mirror.record(job_id)
+            found = self.mirror.state(job_id)
         if found is None:
             return 404, jobs.error("no such job")
-        return 200, jobs.state(found[0])
+        return 200, jobs.answer(found)
 
     def cancel(self, job_id: str) -> Answer:
         """Cancel a job: durable before the answer, and never after it was called done."""
@@ -609,13 +609,13 @@
     def _cancel(self, job_id: str) -> Answer:
         for _ in range(6):
             self._fresh()
-            found = self.mirror.record(job_id)
+            found = self.mirror.state(job_id)
             if found is None:
                 return 404, jobs.error("no such job")
-            record, stamp = found
-            if record.cancelled or record.finished:
-                return 200, jobs.state(record)
-            changed = msgspec.structs.replace(record, cancelled=round(self.wall(), 2))
-            if self._store(changed, stamp):
-                return 200, jobs.state(changed)
+            if found.record.over:
+                return 200, jobs.answer(found)
+            now = round(self.wall(), 2)
+            changed = msgspec.structs.replace(found.record, cancelled=now, done=found.done)
+            if self._store(changed, found.stamp):
+                return 200, jobs.answer(records.State(changed, 0, 0, found.done))
         return 503, jobs.error("the job changes too fast, try again")
--- a/bayford/coordination/relay.py
+++ b/bayford/coordination/relay.py
@@ -15,7 +15,7 @@
 from bayford.protocol import mesh, workers
 from bayford.storage import records
 from bayford.storage.mirror import Mirror
-from bayford.storage.store import Put, Row, Unavailable
+from bayford.storage.store import Put, Row
 
 SHELTER_S = 30.0
 RETURN_S = 20.0
@@ -84,31 +84,25 @@
 
     def orders(self, report: workers.Report) -> list[workers.Order]:
         """What the records say about this machine. The mirror must be fresher than the report."""
-        place = f"{report.machine} {report.session}"
         have = {(t.part, t.attempt): t for t in report.tasks}
         out: list[workers.Order] = []
         wanted: set[tuple[str, int]] = set()
-        complete = True
-        for job_id in self._mirror.job_ids():
-            try:
-                found = self._mirror.record(job_id)
-            except Unavailable:
-                complete = False
+        for job_id, task, attempt, session, cancelled in self._mirror.orders(report.machine):
+            if session != report.session:
                 continue
-            if found is None:
-                continue
-            for task, attempt in found[0].open.get(place, ()):
-                part = workers.task_name(job_id, task)
-                key = (part, attempt)
-                wanted.add(key)
-                if found[0].cancelled:
-                    if key in have and have[key].phase != workers.ENDED:
-                        out.append(workers.Halt(part, attempt, 0.0))
-                elif key not in have:
-                    out.append(workers.Start(part, attempt))
-        for key, state in have.items():
-            if complete and key not in wanted and state.phase == workers.ENDED:
-                out.append(workers.Reap(*key))
+            part = workers.task_name(job_id, task)
+            key = (part, attempt)
+            wanted.add(key)
+            if cancelled:
+                if key in have and have[key].phase != workers.ENDED:
+                    out.append(workers.Halt(part, attempt, 0.0))
+            elif key not in have:
+                out.append(workers.Start(part, attempt))
+        out += [
+            workers.Reap(*key)
+            for key, state in have.items()
+            if key not in wanted and state.phase == workers.ENDED
+        ]
         return out
 
     def publish(self) -> list[Put]:
--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -254,12 +254,13 @@
                 self.gone.add(name)
                 if machine is None:
                     continue
-                for key, place in list(machine.open.items()):
-                    job = self._job_of(key)
-                    self._close(machine, key, place, job, now)
-                    if not job.cancelled:
-                        job.requeue(place.task)
+                for place in list(machine.open.values()):
+                    self._close(machine, place, now)
+                    if not place.job.cancelled:
+                        place.job.requeue(place.task)
                 self.seen.pop(machine.index, None)
+                self.roomy.pop(machine.index, None)
+                self.noticed.pop(machine.index, None)
 
     def not_deleted(self, names: Iterable[str]) -> None:
         """The deletion was not confirmed: decide anew. The machine may be gone or not."""
--- a/bayford/coordination/reports.py
+++ b/bayford/coordination/reports.py
@@ -2,16 +2,9 @@
 
 import logging
 
-from bayford.coordination.books import Books, Key, Seen
+from bayford.coordination.books import Books, Key
 from bayford.protocol import workers
-from bayford.scheduling.model import (
-    EPS,
-    GANG,
-    SERVICE,
-    Job,
-    Machine,
-    Placement,
-)
+from bayford.scheduling.model import EPS, GANG, SERVICE, Job, Machine, Placement
 
 log = logging.getLogger("bayford.engine")
 
@@ -46,17 +39,14 @@
                 if machine.notice is None:
                     log.info("machine %s: taken by the cloud in %.0f s", machine.name, report.notice_s)
                 machine.notice = now + report.notice_s
-            seen: dict[Key, Seen] = {}
+                self.noticed[machine.index] = machine
+            seen: dict[Key, str] = {}
             for state in report.tasks:
                 key = (state.part, state.attempt)
+                seen[key] = state.phase
                 place = machine.open.get(key)
-                version = 0
-                old = self.seen[machine.index].get(key)
-                if old is not None:
-                    version = old.version
                 if place is not None:
-                    version = self._on_task(machine, place, state, now)
-                seen[key] = Seen(state.phase, version)
+                    self._on_task(machine, place, state, now)
             self.seen[machine.index] = seen
             self._close_unstarted(machine, seen, after)
             if not machine.open and machine.idle_since <= 0:
@@ -73,43 +63,31 @@
 
     def _new_session(self, machine: Machine, session: int, now: float) -> None:
         """The worker's lease ran out: it has killed and forgotten all tasks of earlier sessions."""
-        lost = [(key, p) for key, p in machine.open.items() if p.session < session]
+        lost = [p for p in machine.open.values() if p.session < session]
         if machine.reported and lost:
             log.info("machine %s: session %d, %d tasks lost", machine.name, session, len(lost))
         machine.session = session
         machine.tick = -1
         self.seen[machine.index] = {}
-        for key, place in lost:
-            job = self._job_of(key)
-            self._close(machine, key, place, job, now)
-            if not job.cancelled:
-                job.requeue(place.task)
+        for place in lost:
+            self._close(machine, place, now)
+            if not place.job.cancelled:
+                place.job.requeue(place.task)
 
-    def _on_task(self, machine: Machine, place: Placement, state: workers.TaskState, now: float) -> int:
-        name, _ = workers.split_task(state.part) or ("", 0)
-        job = self.jobs[name]
+    def _on_task(self, machine: Machine, place: Placement, state: workers.TaskState, now: float) -> None:
         place.started = True
         if state.phase == workers.FETCHING:
-            machine.images.setdefault(job.image, False)
+            machine.images.setdefault(place.job.image, False)
         elif state.phase == workers.RUNNING:
-            machine.images[job.image] = True
+            machine.images[place.job.image] = True
             if place.running_since is None:
                 place.running_since = now
         elif state.phase == workers.ENDED:
-            self._ended(machine, (state.part, state.attempt), place, job, state, now)
-            return self.versions[name].now if name in self.versions else 0
-        return 0
+            self._ended(machine, place, state, now)
 
-    def _ended(
-        self,
-        machine: Machine,
-        key: Key,
-        place: Placement,
-        job: Job,
-        state: workers.TaskState,
-        now: float,
-    ) -> None:
-        self._close(machine, key, place, job, now)
+    def _ended(self, machine: Machine, place: Placement, state: workers.TaskState, now: float) -> None:
+        job = place.job
+        self._close(machine, place, now)
         if state.why == workers.DONE and job.spec.shape != SERVICE:
             job.done.add(place.task)
             machine.images[job.image] = True
@@ -119,6 +97,7 @@
                 self.estimates.ended(job.job_class, job.spec.estimate_s, now - place.running_since)
             if job.finished:
                 log.info("job %s done after %.1f s", job.spec.id, now - job.created)
+                self._settle_job(job)
             return
         if job.cancelled:
             return
@@ -137,21 +116,21 @@
             # The late picture was wrong; wait for a newer report before trying this machine again.
             self.refusals += 1
             machine.full_until = now + 1.0
-            log.debug("machine %s refused %s: full", machine.name, key[0])
+            log.debug("machine %s refused %s: full", machine.name, place.part)
         elif state.why == workers.ERROR:
-            self._failed(machine, job, key, now)
+            self._failed(machine, job, place.part, now)
         else:
             job.not_before = max(job.not_before, now + 2.0)
-            log.info("machine %s refused %s: %s", machine.name, key[0], state.why)
+            log.info("machine %s refused %s: %s", machine.name, place.part, state.why)
 
-    def _failed(self, machine: Machine, job: Job, key: Key, now: float) -> None:
+    def _failed(self, machine: Machine, job: Job, part: str, now: float) -> None:
         """A task failed: blame the machine if it fails several jobs, the job if it fails everywhere."""
         job.errors += 1
         job.failed_on.add(machine.index)
         machine.failed_jobs[job.spec.id] = machine.failed_jobs.get(job.spec.id, 0) + 1
         log.error(
             "run failed: task %s on %s (%d failed runs of the job, on %d machines)",
-            key[0], machine.name, job.errors, len(job.failed_on),
+            part, machine.name, job.errors, len(job.failed_on),
         )  # fmt: skip
         if len(job.failed_on) >= self.policy.job_fault_machines and not job.done:
             wait = min(60.0, 2.0 ** min(job.errors, 6))
@@ -169,7 +148,7 @@
         elif not several:
             machine.full_until = max(machine.full_until, now + 3.0)
 
-    def _close_unstarted(self, machine: Machine, seen: dict[Key, Seen], after: float) -> None:
+    def _close_unstarted(self, machine: Machine, seen: dict[Key, str], after: float) -> None:
         """Close what a cancelled job had on its way here and the worker does not have.
 
         Safe only for a report sent after the cancellation was committed: no node answers that report or
@@ -179,10 +158,9 @@
         """
         now = self.clock()
         for key, place in list(machine.open.items()):
-            job = self._job_of(key)
             absent = key not in seen and place.session == machine.session
-            if job.cancelled and absent and after >= job.cancel_known:
-                self._close(machine, key, place, job, now)
+            if place.job.cancelled and absent and after >= place.job.cancel_known:
+                self._close(machine, place, now)
 
     def orders_for(self, index: int, arrival: float) -> tuple[list[workers.Order], bool]:
         """What to answer the machine's report that came at `arrival`, and whether starts await the gate.
@@ -197,27 +175,26 @@
             seen = self.seen[index]
             orders: list[workers.Order] = []
             gated = False
-            for (part, attempt), state in seen.items():
-                place = machine.open.get((part, attempt))
-                name, _ = workers.split_task(part) or ("", 0)
-                if state.phase == workers.ENDED:
-                    versions = self.versions.get(name)
-                    if place is None and (versions is None or versions.durable >= state.version):
+            for key, phase in seen.items():
+                place = machine.open.get(key)
+                part, attempt = key
+                if phase == workers.ENDED:
+                    name, task = workers.split_task(part) or ("", 0)
+                    if place is None and not self.unsettled(name, task):
                         orders.append(workers.Reap(part, attempt))
                 elif place is None:
                     orders.append(workers.Halt(part, attempt, 0.0))
                 elif place.halting:
                     orders.append(workers.Halt(part, attempt, place.halt_grace))
-            for (part, attempt), place in machine.open.items():
-                if (part, attempt) in seen or not place.durable or place.session != machine.session:
+            for key, place in machine.open.items():
+                if key in seen or not place.durable or place.session != machine.session:
                     continue
-                name, _ = workers.split_task(part) or ("", 0)
-                if self.jobs[name].cancelled:
+                if place.job.cancelled:
                     continue
                 if self.verified_at < arrival:
                     gated = True
                     continue
-                orders.append(workers.Start(part, attempt))
+                orders.append(workers.Start(place.part, place.attempt))
                 self.starts += 1
             return orders, gated
 
@@ -231,8 +208,8 @@
             if machine is None or not self.owner or not machine.address:
                 return None
             halts: list[workers.Order] = [
-                workers.Halt(part, attempt, place.halt_grace)
-                for (part, attempt), place in machine.open.items()
+                workers.Halt(place.part, place.attempt, place.halt_grace)
+                for place in machine.open.values()
                 if place.halting and place.started and not place.halt_sent
             ]
             for place in machine.open.values():
--- a/bayford/coordination/rounds.py
+++ b/bayford/coordination/rounds.py
@@ -14,13 +14,15 @@
     URGENT,
     Job,
     Machine,
-    Placement,
 )
 from bayford.scheduling.quota import Share
 
 log = logging.getLogger("bayford.engine")
 
 KEEP_S = 4.0  # how long room that was made for a job is kept for it
+PREEMPT_EVERY_S = 0.25  # victims are looked for on all machines, so not in every round
+PREEMPTING = 4  # jobs that room is made for at a time
+NO_ROOM = "no room on an allowed machine"
 
 
 class Rounds(Reports):
@@ -32,21 +34,27 @@
             if not self.owner or not self.complete:
                 return
             now = self.clock()
-            for machine in self.machines.values():
-                if machine.notice is not None:
-                    self._drain(machine, now)
+            for machine in self.noticed.values():
+                self._drain(machine, now)
             queue = self._queue(now)
             if not queue:
                 return
-            least = min(job.spec.cpus for _, job, _ in queue)
-            roomy = [m for m in self.machines.values() if m.free_cpus + EPS >= least and m.usable]
-            for _, job, count in queue:
-                self._place(job, count, roomy, now)
+            self._place_all(queue, now)
             self._preempt([job for _, job, _ in queue], now)
             if now - self.balanced_at >= self.policy.balance_every_s:
                 self.balanced_at = now
                 self._balance([job for _, job, _ in queue], now)
 
+    def _place_all(self, queue: list[tuple[tuple[float, ...], Job, int]], now: float) -> None:
+        """Work of a round follows the room there is: when that is gone, nobody else is asked."""
+        roomy = [m for m in self.roomy.values() if m.usable and m.full_until <= now]
+        for _, job, count in queue:
+            if not roomy:
+                job.why_waiting = NO_ROOM
+                continue
+            self._place(job, count, roomy, now)
+            roomy = [m for m in roomy if m.index in self.roomy]
+
     def _queue(self, now: float) -> list[tuple[tuple[float, ...], Job, int]]:
         """Jobs with waiting tasks in the order of service.
 
@@ -107,42 +115,44 @@
         return left / (1.0 + age / self.policy.aging_s)
 
     def _place(self, job: Job, count: int, roomy: list[Machine], now: float) -> None:
-        counts = placement.zones_open(job, self._zone)
         zoned = job.spec.one_zone or job.spec.spread
         if zoned and any(self._zone(p.machine) is None for p in job.open.values()):
             # After a takeover a machine with tasks of the job may not have been heard yet: where it
             # stands is unknown, so the zone rules can't be checked.
             job.why_waiting = "zone of a running task unknown"
             return
+        counts = placement.zones_open(job, self._zone) if zoned else {}
         machines = placement.candidates(job, roomy, counts, now)
         if not self.dear_serves and job.spec.priority < URGENT and job.spec.spot:
             # The cheap machines alone are in time: let the dear ones run empty and go back.
             machines = [m for m in machines if m.spot]
-        share = self.shares[job.team]
         if job.spec.shape == GANG:
             self._place_gang(job, machines, now)
             return
+        machines = placement.ranked(job, machines)
+        share = self.shares[job.team]
         placed = 0
-        limit = max(1, (self.value_bytes * (self.settings.facts.state.txn_ops - 2)) // 40)
-        while job.waiting and placed < count and share.allows(job.spec) and len(job.open) < limit:
-            task = job.waiting[-1]
-            machine = placement.choose(job, machines, job.hints.pop(task, None))
+        while job.waiting and placed < count and share.allows(job.spec):
+            machine = placement.first(job, machines, job.hints.pop(job.waiting[-1], None))
             if machine is None:
-                job.why_waiting = "no room on an allowed machine"
+                job.why_waiting = NO_ROOM
                 break
-            self._put(job, job.waiting.pop(), machine, now)
+            self._put(job, job.waiting.pop(), machine)
             placed += 1
             if zoned:
                 counts = placement.zones_open(job, self._zone)
                 machines = placement.candidates(job, machines, counts, now)
         if placed:
-            self._touch(job, urgent=job.spec.priority >= URGENT)
             log.debug("job %s: placed %d, %d wait", job.spec.id, placed, len(job.waiting))
 
-    def _put(self, job: Job, task: int, machine: Machine, now: float) -> None:
-        place = Placement(task, job.next_attempt, machine.index, machine.session)
-        job.next_attempt += 1
+    def _put(self, job: Job, task: int, machine: Machine, attempt: int | None = None) -> None:
+        if attempt is None:
+            attempt = self.next_attempt
+        self.next_attempt = max(self.next_attempt, attempt + 1)
+        place = self._placement(job, task, attempt, machine, machine.session)
         self._book(job, machine, place)
+        self._touch(job, task)
+        job.begun = True
         machine.images.setdefault(job.image, False)
         if machine.kept_for == job.spec.id:
             machine.kept_until = 0.0
@@ -154,27 +164,54 @@
             job.why_waiting = "no room for the whole gang"
             return
         # One attempt number for the whole gang: its tasks come together by it.
-        attempt = job.next_attempt
+        attempt = self.next_attempt
         for machine in picks:
-            job.next_attempt = attempt
-            self._put(job, job.waiting.pop(), machine, now)
-        self._touch(job, urgent=job.spec.priority >= URGENT)
+            self._put(job, job.waiting.pop(), machine, attempt)
 
     def _preempt(self, queue: list[Job], now: float) -> None:
         """Stop the cheapest tasks for waiting work that PROTOCOL lets push them out."""
+        if now < self.preempt_at:
+            return
+        wanting = self._wanting(queue, now)
+        if not wanting:
+            return
+        self.preempt_at = now + PREEMPT_EVERY_S
+        after = [dataclasses.replace(share) for share in self.shares]  # once the stops are through
+        busy = set()
+        for place in self.halting:
+            after[place.job.team].give(place.job.spec)
+            busy.add(place.machine)
         budget = self.policy.preempt_per_round
+        machines = [m for m in self.machines.values() if not m.relay and m.index not in busy]
+        for job, need, owed in wanting:
+            for found in self._find_victims(job, machines, now, after, owed > 0):
+                if need <= 0 or budget <= 0:
+                    break
+                if any(v.place.halting for v in found):
+                    continue  # the machine has been taken for a job before this one
+                if not all(preemption.may_stop(job, v.job, after, owed > 0) for v in found):
+                    continue
+                # Else smaller tasks would take what is free there already, and the stop was for nothing.
+                machine = self.machines[found[0].place.machine]
+                machine.kept_for, machine.kept_until = job.spec.id, now + KEEP_S
+                owed -= 1
+                need -= 1
+                for victim in found:
+                    after[victim.job.team].give(victim.job.spec)
+                    saves = victim.job.spec.checkpoint_s > 0
+                    self._halt(victim.place, victim.job.spec.save_s * 1.5 if saves else 0.0)
+                    budget -= 1
+                log.info("job %s waits: stopping %s", job.spec.id, [v.place.part for v in found])
+
+    def _wanting(self, queue: list[Job], now: float) -> list[tuple[Job, int, int]]:
+        """Whose waiting work may push others out, how many tasks of it, and how many that is owed."""
         kept: dict[str, int] = {}
         for machine in self.machines.values():
             if machine.kept_until > now:
                 kept[machine.kept_for] = kept.get(machine.kept_for, 0) + 1
-        after = [dataclasses.replace(share) for share in self.shares]  # once the stops are through
-        for machine in self.machines.values():
-            for key, place in machine.open.items():
-                if place.halting:
-                    job = self._job_of(key)
-                    after[job.team].give(job.spec)
+        out = []
         for job in queue:
-            if budget <= 0 or not job.waiting or job.not_before > now:
+            if not job.waiting or job.not_before > now:
                 continue
             share = self.shares[job.team]
             need = min(len(job.waiting), share.room(job.spec))
@@ -185,49 +222,28 @@
                 # Room is taken back for the guarantee alone, not for what would be borrowed on top.
                 need = min(need, owed)
             need -= kept.get(job.spec.id, 0)
-            while need > 0 and budget > 0:
-                found = self._find_victims(job, now, after, owed > 0)
-                if found is None:
-                    break
-                # Else smaller tasks would take what is free there already, and the stop was for nothing.
-                machine = self.machines[found[0].place.machine]
-                machine.kept_for, machine.kept_until = job.spec.id, now + KEEP_S
-                owed -= 1
-                for victim in found:
-                    after[victim.job.team].give(victim.job.spec)
-                    saves = victim.job.spec.checkpoint_s > 0
-                    self._halt(victim.place, victim.job.spec.save_s * 1.5 if saves else 0.0)
-                    budget -= 1
-                log.info(
-                    "job %s waits: stopping %s", job.spec.id,
-                    [workers.task_name(v.job.spec.id, v.place.task) for v in found],
-                )  # fmt: skip
-                need -= 1
+            if need > 0:
+                out.append((job, need, owed))
+        return out[:PREEMPTING]
 
     def _find_victims(
-        self, waiting: Job, now: float, after: list[Share], owed: bool
-    ) -> list[preemption.Victim] | None:
+        self, waiting: Job, machines: list[Machine], now: float, after: list[Share], owed: bool
+    ) -> list[list[preemption.Victim]]:
+        """The stops that would make room for one task, machine by machine, the cheapest first."""
         counts = placement.zones_open(waiting, self._zone)
-        best: tuple[float, list[preemption.Victim]] | None = None
-        for machine in placement.candidates(waiting, self.machines.values(), counts, now):
-            if machine.relay:
-                continue
+        out: list[tuple[float, int, list[preemption.Victim]]] = []
+        for machine in placement.candidates(waiting, machines, counts, now):
             found = []
-            halting = False
-            for key, place in machine.open.items():
-                job = self._job_of(key)
-                if place.halting:
-                    halting = True
-                elif preemption.may_stop(waiting, job, after, owed):
+            for place in machine.open.values():
+                job = place.job
+                if preemption.may_stop(waiting, job, after, owed):
+                    expected = self.expected(job)
                     ran = 0.0 if place.running_since is None else now - place.running_since
-                    left_s = self.expected(job) - ran
-                    if waiting.spec.priority < URGENT and left_s < self.policy.guarantee_wait_s / 2:
+                    if waiting.spec.priority < URGENT and expected - ran < self.policy.guarantee_wait_s / 2:
                         continue  # it gives the room back by itself soon; stopping it wastes its work
-                    loss = preemption.lost_work(job, place, now, self.expected(job))
+                    loss = preemption.lost_work(job, place, now, expected)
                     found.append(preemption.Victim(job, place, loss))
-            if halting:
-                continue
-            got = preemption.victims_on(machine, waiting, found, 4)
+            got = preemption.victims_on(machine, waiting, found, 4) if found else None
             if got is None:
                 continue
             cost = got[1]
@@ -235,51 +251,63 @@
                 # The waiting task would first fetch its image there.
                 fetch = waiting.spec.image_gb / max(self.types[machine.type].fetch_gb_per_s, 0.01)
                 cost += fetch * waiting.spec.cpus * self.policy.fetch_weight
-            if best is None or cost < best[0]:
-                best = (cost, got[0])
-        return best[1] if best else None
+            out.append((cost, machine.index, got[0]))
+        out.sort(key=lambda entry: entry[:2])
+        return [found for _, _, found in out]
 
     def _balance(self, queue: list[Job], now: float) -> None:
         """The paper's balancer: move running tasks off a machine to free the room that a waiting task
         needs there, when it fits on no machine. Moves are stops with a hint where to go on."""
+        if self.halting:
+            return  # room is being made as it is
+        waiting = [
+            job
+            for job in queue
+            if job.waiting
+            and job.spec.shape != GANG
+            and job.not_before <= now
+            and self.shares[job.team].allows(job.spec)
+        ]
+        if not waiting:
+            return
+        # Room that is being made for a job, or that a worker just refused, is not there for others.
+        usable = [
+            m
+            for m in self.machines.values()
+            if m.usable and not m.relay and m.kept_until <= now and m.full_until <= now
+        ]
+        self.balance_asked += 1
+        free = sum(m.free_cpus for m in usable)
         running = sum(len(m.open) for m in self.machines.values())
         left = tempered.budget(running, self.policy.balance_share)
-        freeing = any(p.halting for m in self.machines.values() for p in m.open.values())
-        for job in queue:
-            if left <= 0 or freeing:
-                return
-            if not job.waiting or job.spec.shape == GANG or job.not_before > now:
-                continue
-            if not self.shares[job.team].allows(job.spec):
-                continue
-            plan = self._plan(job, left, now)
+        hosts: dict[int, tempered.Host] = {}
+        for job in waiting[: self.policy.balance_jobs]:
+            if free + EPS < job.spec.cpus:
+                continue  # a move shifts room and makes none: so much is not left in the whole fleet
+            hosts = hosts or {m.index: self._host(m) for m in usable}
+            plan = self._plan(job, left, usable, hosts, now)
             if plan is None:
                 continue
             for move in plan.moves:
-                moved = self._job_of(move.key)
                 place = self.machines[plan.source].open[move.key]
-                moved.hints[place.task] = move.target
-                self._halt(place, moved.spec.save_s * 1.5)
-            left -= len(plan.moves)
+                place.job.hints[place.task] = move.target
+                self._halt(place, place.job.spec.save_s * 1.5)
             self.moves += len(plan.moves)
             log.info(
                 "job %s fits nowhere: moving %s off %s (imbalance then %.2f)", job.spec.id,
                 [m.key[0] for m in plan.moves], self.machines_by[plan.source], plan.imbalance,
             )  # fmt: skip
+            return  # the picture has changed
 
-    def _plan(self, job: Job, moves: int, now: float) -> tempered.Plan | None:
+    def _plan(
+        self, job: Job, moves: int, usable: list[Machine], hosts: dict[int, tempered.Host], now: float
+    ) -> tempered.Plan | None:
         spec = job.spec
         counts = placement.zones_open(job, self._zone)
-        # Room that is being made for a job, or that a worker just refused, is not there for others.
-        usable = [
-            m
-            for m in self.machines.values()
-            if m.usable and not m.relay and m.kept_until <= now and m.full_until <= now
-        ]
         allowed = placement.candidates(job, usable, counts, now)
         if any(m.has_room(spec) for m in allowed):
             return None  # it fits as it is and is about to be placed
-        hosts = {m.index: self._host(m) for m in usable}
+        self.balance_tried += 1
         need = (spec.cpus, spec.gpus, spec.mem_gb)
         sources = []
         for machine in allowed:
@@ -299,18 +327,18 @@
 
     def _host(self, machine: Machine) -> tempered.Host:
         items = []
-        for key, place in machine.open.items():
-            spec = self._job_of(key).spec
+        for place in machine.open.values():
+            spec = place.job.spec
             movable = spec.shape == SERVICE or (spec.checkpoint_s > 0 and spec.shape != GANG)
             if movable and place.running_since is not None and not place.halting:
-                items.append(tempered.Item(key, (spec.cpus, spec.gpus, spec.mem_gb)))
+                items.append(tempered.Item(place.key, (spec.cpus, spec.gpus, spec.mem_gb)))
         free = (machine.free_cpus, machine.free_gpus, machine.free_mem)
         return tempered.Host(machine.index, machine.cpus, free, items)
 
     def _may_move(self, key: Key, target: int) -> bool:
         """Whether the task's job allows the target, the task itself gone from where it is."""
-        job, machine = self._job_of(key), self.machines[target]
-        task = (workers.split_task(key[0]) or ("", 0))[1]
+        job_id, task = workers.split_task(key[0]) or ("", 0)
+        job, machine = self.jobs[job_id], self.machines[target]
         here = self._zone(job.open[task].machine)
         counts = placement.zones_open(job, self._zone)
         if here is not None:
@@ -328,17 +356,15 @@
         """A spot notice: save what can be saved in time, give up early on what can't finish."""
         left = (machine.notice or now) - now
         report_s = self.settings.facts.workers.report_s
-        for key, place in machine.open.items():
+        for place in machine.open.values():
             if place.halting:
                 continue
-            job = self._job_of(key)
+            job = place.job
             save = job.spec.save_s * 1.5 + 1.5 * report_s + 1.0 if job.spec.checkpoint_s else 0.0
             ran = 0.0 if place.running_since is None else now - place.running_since
             ends_in = max(0.0, self.expected(job) - ran)
             if job.spec.checkpoint_s:
                 if left <= save + 1.0:
-                    place.halting, place.halt_grace = True, job.spec.save_s * 1.5
+                    self._halt(place, job.spec.save_s * 1.5)
             elif ends_in > left * 1.5:
-                place.halting, place.halt_grace = True, 0.0
-            if place.halting:
-                self.on_ready(machine.index)
+                self._halt(place, 0.0)
--- a/bayford/protocol/jobs.py
+++ b/bayford/protocol/jobs.py
@@ -9,7 +9,7 @@
 import orjson
 
 from bayford.scheduling.model import ARRAY, GANG, SERVICE, JobSpec
-from bayford.storage.records import Record
+from bayford.storage.records import State
 
 MAX_TASKS = 100_000
 MAX_BODY = 64 * 1024
@@ -130,26 +130,19 @@
     )
 
 
-def phase(record: Record) -> str:
+def phase(state: State) -> str:
     """The job's phase as users see it."""
-    if record.cancelled:
+    if state.record.cancelled:
         return "aborted"
-    if record.finished:
+    if state.record.finished:
         return "done"
-    return "running" if record.open else "pending"
+    return "running" if state.open else "pending"
 
 
-def state(record: Record, started: int | None = None) -> bytes:
+def answer(state: State) -> bytes:
     """The body of a query's answer."""
-    word = phase(record)
-    placed = sum(map(len, record.open.values())) if started is None else started
     return orjson.dumps(
-        {
-            "id": record.spec.id,
-            "phase": word,
-            "done": record.done_count,
-            "running": placed if word == "running" else 0,
-        }
+        {"id": state.record.spec.id, "phase": phase(state), "done": state.done, "running": state.open}
     )
 
 
--- a/bayford/scheduling/placement.py
+++ b/bayford/scheduling/placement.py
@@ -55,19 +55,23 @@
     return (image, 0.0 if machine.spot else 1.0, machine.free_cpus - job.spec.cpus, machine.index)
 
 
-def choose(job: Job, machines: Sequence[Machine], hint: int | None = None) -> Machine | None:
-    """The best of `machines` (already allowed) with room, the balancer's hint first."""
-    best: Machine | None = None
-    best_score: tuple[float, ...] = ()
-    for m in machines:
-        if not m.has_room(job.spec):
-            continue
-        if m.index == hint:
-            return m
-        s = score(job, m)
-        if best is None or s < best_score:
-            best, best_score = m, s
-    return best
+def ranked(job: Job, machines: Sequence[Machine]) -> list[Machine]:
+    """Those with room, the best first. What is placed on the best makes it fuller and so better still: the
+    order holds while a job's tasks go to one after the other."""
+    return sorted((m for m in machines if m.has_room(job.spec)), key=lambda m: score(job, m))
+
+
+def first(job: Job, machines: list[Machine], hint: int | None = None) -> Machine | None:
+    """The first of `machines` (as `ranked` gave them) that has room still, the balancer's hint before it."""
+    if hint is not None:
+        for machine in machines:
+            if machine.index == hint and machine.has_room(job.spec):
+                return machine
+    while machines:
+        if machines[0].has_room(job.spec):
+            return machines[0]
+        machines.pop(0)
+    return None
 
 
 def choose_gang(job: Job, machines: Sequence[Machine], count: int) -> list[Machine] | None:
@@ -79,7 +83,7 @@
         counts: dict[int, int] = {}
         for _ in range(count):
             allowed = [m for m in group if m.zone is not None and zone_allowed(job, m.zone, counts)]
-            machine = choose(job, allowed)
+            machine = first(job, ranked(job, allowed))
             if machine is None:
                 break
             machine.take(job.spec)
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -35,4 +35,5 @@
     balance_trials: int = 4
     balance_iterations: int = 3
     balance_sources: int = 3
+    balance_jobs: int = 4
     summary_every_s: float = 30.0
--- /dev/null
+++ b/bayford/storage/ledger.py
@@ -0,0 +1,328 @@
+"""The ledger: where every task is, as a log that one write extends for many jobs.
+
+The state service takes few changes a second, each of a few KiB, while tasks start and end by the hundred. So
+the owner appends rows: row `n` says what became of each task that changed since row `n-1`. Rows lie under
+`b/log/<slot>`; a slot is written again once nothing in it counts any more. To that end every row has room for
+snapshots: the state, as it was before the row, of blocks of tasks (a block is a run of one job's task
+numbers) whose news lies in the oldest rows. What a row tells of a block is dead when a later row has a
+snapshot of it; the tail is the first row in which something lives, and the rows before it are free. That
+keeps the log short, and so a new owner's reading, whatever the number of jobs.
+
+Rows assign, they don't add: reading one again, or reading more than is needed, changes nothing.
+
+Exactly once: a row's write names the stamp of the slot that it takes, and the slot that row `n` takes follows
+from the rows before alone. So of two writes of row `n`, one given up on and one that follows, only one is
+applied; whoever was second conflicts, reads the row and goes on from there.
+"""
+
+from collections import deque
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import orjson
+
+from bayford.storage.records import LOG, Unreadable
+
+Block = tuple[str, int]  # job, number of the run of tasks
+Place = tuple[int, str, int]  # attempt, machine, session
+
+OPEN_BYTES = 24  # a task's entry in a row, at the longest that is usual
+NAME_BYTES = 16  # and its machine's name
+HEAD_BYTES = 192
+KEEP_ROWS = 24  # the log is kept about this long; longer where the open work does not fit into so many
+
+
+class Value(msgspec.Struct, forbid_unknown_fields=True):
+    """A row as it is stored. Tasks that are on machines: flat triples task, attempt, index into `m`."""
+
+    n: int
+    t: int  # the tail when it was written
+    a: int  # the next attempt number
+    m: list[tuple[str, int]] = []  # machine and session
+    o: dict[str, list[int]] = {}  # tasks placed
+    d: dict[str, list[int]] = {}  # tasks done
+    c: dict[str, list[int]] = {}  # tasks neither on a machine any more nor done
+    x: list[str] = []  # jobs that are over, nothing of them on any machine
+    s: list[tuple[str, int, list[int], list[int]]] = []  # job, block, ranges done, triples placed
+
+
+@dataclass(slots=True)
+class Progress:
+    """One job's tasks."""
+
+    open: dict[int, Place] = field(default_factory=dict)
+    done: set[int] = field(default_factory=set)
+    snapped: dict[int, int] = field(default_factory=dict)  # block -> the last row with a snapshot of it
+
+
+@dataclass(slots=True)
+class Row:
+    """A row of the window: where it lies, and the blocks of which it tells something."""
+
+    slot: str
+    stamp: int
+    blocks: set[Block]
+
+
+def ranges(tasks: Iterable[int]) -> list[int]:
+    """Task numbers as first, last, first, last, …"""
+    out: list[int] = []
+    for task in sorted(tasks):
+        if out and out[-1] == task - 1:
+            out[-1] = task
+        else:
+            out += (task, task)
+    return out
+
+
+def unrange(flat: list[int]) -> Iterator[int]:
+    """The inverse of `ranges`."""
+    for first, last in zip(flat[::2], flat[1::2], strict=True):
+        yield from range(first, last + 1)
+
+
+def triples(flat: list[int]) -> Iterator[tuple[int, int, int]]:
+    """A row's flat list of placed tasks."""
+    return zip(flat[::3], flat[1::3], flat[2::3], strict=True)
+
+
+def block_size(value_bytes: int) -> int:
+    """Tasks in a block: so many that a snapshot of one takes a third of a value at the most."""
+    return max(4, (value_bytes - HEAD_BYTES) // 3 // (OPEN_BYTES + NAME_BYTES))
+
+
+class Ledger:
+    """The state that the rows add up to. Kept by every controller, row by row as they come in.
+
+    Not locked: its user, the mirror, does that.
+    """
+
+    def __init__(self, value_bytes: int) -> None:
+        self.value_bytes = value_bytes
+        self.block = block_size(value_bytes)
+        self.clear()
+
+    def clear(self) -> None:
+        """Nothing known."""
+        self.next = 0
+        self.tail = 0
+        self.next_attempt = 1
+        self.jobs: dict[str, Progress] = {}
+        self.at: dict[str, dict[tuple[str, int], tuple[int, int]]] = {}  # machine: task -> attempt, session
+        self.window: dict[int, Row] = {}
+        self.free: deque[tuple[str, int]] = deque()  # slots to write again, with their stamps
+        self._early: dict[int, tuple[str, int, Value]] = {}
+
+    # -- reading ---------------------------------------------------------------------------------------
+
+    def take(self, slot: str, stamp: int, raw: Any) -> None:
+        """A row came in; rows that overtook others wait for them."""
+        value = _decode(slot, raw)
+        if value.n >= self.next:
+            self._early[value.n] = (slot, stamp, value)
+        while self.next in self._early:
+            self._apply(*self._early.pop(self.next))
+
+    def rebuild(self, rows: Iterable[tuple[str, int, Any]]) -> None:
+        """Everything anew, from all the rows of one revision."""
+        found = sorted(((_decode(k, raw), k, stamp) for k, stamp, raw in rows), key=lambda row: row[0].n)
+        self.clear()
+        if not found:
+            return
+        tail = found[-1][0].t
+        self.next = self.tail = tail
+        for value, slot, stamp in found:
+            if value.n < tail:
+                self.free.append((slot, stamp))
+                continue
+            if value.n != self.next:
+                raise Unreadable(f"the ledger lacks row {self.next}")
+            self._apply(slot, stamp, value, whole=True)
+
+    def _apply(self, slot: str, stamp: int, value: Value, whole: bool = False) -> None:
+        blocks: set[Block] = set()
+        size = self.block
+        for job, number, done, placed in value.s:
+            blocks.add((job, number))
+            progress = self._progress(job)
+            progress.snapped[number] = value.n
+            if whole:
+                # Only who has not read the rows before has to take it in.
+                for task in [t for t in progress.open if t // size == number]:
+                    self._close(job, progress, task)
+                progress.done.update(unrange(done))
+                for task, attempt, where in triples(placed):
+                    self._open(job, progress, task, attempt, value.m[where])
+        for job, tasks in value.c.items():
+            progress = self._progress(job)
+            for task in tasks:
+                self._close(job, progress, task)
+                blocks.add((job, task // size))
+        for job, tasks in value.d.items():
+            progress = self._progress(job)
+            for task in tasks:
+                self._close(job, progress, task)
+                progress.done.add(task)
+                blocks.add((job, task // size))
+        for job, flat in value.o.items():
+            progress = self._progress(job)
+            for task, attempt, where in triples(flat):
+                self._close(job, progress, task)
+                self._open(job, progress, task, attempt, value.m[where])
+                blocks.add((job, task // size))
+        for job in value.x:
+            old = self.jobs.pop(job, None)
+            if old is not None:
+                for task in list(old.open):
+                    self._close(job, old, task)
+        if self.free and self.free[0][0] == slot:
+            self.free.popleft()
+        self.window[value.n] = Row(slot, stamp, blocks)
+        self.next_attempt = max(self.next_attempt, value.a)
+        self.next = value.n + 1
+        for n in range(self.tail, min(value.t, self.next)):
+            row = self.window.pop(n, None)
+            if row is not None:
+                self.free.append((row.slot, row.stamp))
+        self.tail = max(self.tail, value.t)
+
+    def _progress(self, job: str) -> Progress:
+        progress = self.jobs.get(job)
+        if progress is None:
+            progress = self.jobs[job] = Progress()
+        return progress
+
+    def _open(self, job: str, progress: Progress, task: int, attempt: int, where: tuple[str, int]) -> None:
+        machine, session = where
+        progress.open[task] = (attempt, machine, session)
+        self.at.setdefault(machine, {})[(job, task)] = (attempt, session)
+
+    def _close(self, job: str, progress: Progress, task: int) -> None:
+        place = progress.open.pop(task, None)
+        if place is not None:
+            there = self.at[place[1]]
+            del there[(job, task)]
+            if not there:
+                del self.at[place[1]]
+
+    # -- writing ---------------------------------------------------------------------------------------
+
+    def dead_before(self) -> int:
+        """The tail that the next row may name: no row before it tells anything that counts."""
+        n = self.tail
+        while n < self.next - 1:
+            row = self.window[n]
+            row.blocks = {b for b in row.blocks if self._lives(b, n)}
+            if row.blocks:
+                break
+            n += 1
+        return n
+
+    def slots(self, count: int) -> list[tuple[str, int]]:
+        """Where the next rows go, with the stamps that they replace: free slots, oldest first, then new."""
+        out = [self.free[i] for i in range(min(count, len(self.free)))]
+        known = len(self.window) + len(self.free)
+        return out + [(f"{LOG}{known + i}", 0) for i in range(count - len(out))]
+
+    def _lives(self, block: Block, n: int) -> bool:
+        """Whether what row `n` tells of the block still counts."""
+        progress = self.jobs.get(block[0])
+        return progress is not None and progress.snapped.get(block[1], -1) <= n
+
+    def oldest_blocks(self, keep: int) -> Iterator[Block]:
+        """What is worth a snapshot, that the log may shrink to `keep` rows: the blocks of the oldest rows."""
+        offered: set[Block] = set()
+        for n in range(self.tail, self.next - keep):
+            row = self.window[n]
+            for block in sorted(row.blocks):
+                if block not in offered and self._lives(block, n):
+                    offered.add(block)
+                    yield block
+
+
+class RowMaker:
+    """One row in the making; says how many bytes are left in its value."""
+
+    def __init__(self, ledger: Ledger, n: int, tail: int, next_attempt: int) -> None:
+        self.value = Value(n, tail, next_attempt)
+        self._ledger = ledger
+        self._where: dict[tuple[str, int], int] = {}
+        self.left = ledger.value_bytes - HEAD_BYTES
+
+    def _index(self, machine: str, session: int) -> int:
+        index = self._where.get((machine, session))
+        if index is None:
+            index = self._where[(machine, session)] = len(self.value.m)
+            self.value.m.append((machine, session))
+            self.left -= len(machine) + len(str(session)) + 6
+        return index
+
+    def room(self, job: str, machine: str = "") -> bool:
+        """Whether one more change of a task surely fits.
+
+        Once the log is long, a third of each row is left to snapshots, or it would grow for ever.
+        """
+        spare = self._ledger.value_bytes // 3 if len(self._ledger.window) > 2 * KEEP_ROWS else 0
+        return self.left - spare >= OPEN_BYTES + len(job) + len(machine) + 32
+
+    def opened(self, job: str, task: int, attempt: int, machine: str, session: int) -> None:
+        """The task is on a machine."""
+        self._list(self.value.o, job).extend((task, attempt, self._index(machine, session)))
+        self.left -= len(str(task)) + len(str(attempt)) + 7
+
+    def done(self, job: str, task: int) -> None:
+        """The task is done."""
+        self._list(self.value.d, job).append(task)
+        self.left -= len(str(task)) + 1
+
+    def closed(self, job: str, task: int) -> None:
+        """The task is on no machine, and not done."""
+        self._list(self.value.c, job).append(task)
+        self.left -= len(str(task)) + 1
+
+    def over(self, job: str) -> None:
+        """Nothing of the job is left to follow."""
+        self.value.x.append(job)
+        self.left -= len(job) + 3
+
+    def _list(self, into: dict[str, list[int]], job: str) -> list[int]:
+        found = into.get(job)
+        if found is None:
+            found = into[job] = []
+            self.left -= len(job) + 8
+        return found
+
+    def snapshots(self) -> None:
+        """Fill what is left with snapshots of what the oldest rows tell."""
+        ledger = self._ledger
+        for job, number in ledger.oldest_blocks(KEEP_ROWS):
+            progress = ledger.jobs[job]
+            first = number * ledger.block
+            tasks = range(first, first + ledger.block)
+            done = ranges(t for t in tasks if t in progress.done)
+            placed = [(t, progress.open[t]) for t in tasks if t in progress.open]
+            need = 6 * len(done) + len(job) + 24
+            need += sum(OPEN_BYTES + len(place[1]) for _, place in placed)
+            if need > self.left:
+                return
+            before = self.left
+            flat: list[int] = []
+            for task, (attempt, machine, session) in placed:
+                flat += (task, attempt, self._index(machine, session))
+            self.value.s.append((job, number, done, flat))
+            self.left = before - len(orjson.dumps(flat)) - 6 * len(done) - len(job) - 24
+            self.left -= sum(len(place[1]) + 8 for _, place in placed)
+
+    def finish(self) -> dict[str, Any]:
+        """The value to write, empty fields left out."""
+        raw = msgspec.to_builtins(self.value)
+        return {k: v for k, v in raw.items() if v or k in ("n", "t", "a")}
+
+
+def _decode(slot: str, raw: Any) -> Value:
+    try:
+        return msgspec.convert(raw, Value)
+    except msgspec.ValidationError as bad:
+        raise Unreadable(f"{slot}: not a row of the ledger: {bad}") from bad
--- a/bayford/storage/mirror.py
+++ b/bayford/storage/mirror.py
@@ -1,32 +1,45 @@
-"""A mirror of our part of the store, fed by changes.
+"""A mirror of our part of the store, fed by changes, and the ledger that its rows add up to.
 
 Monotone by construction: a row is replaced only by one with a larger stamp. `fresh()` makes it
 linearizable: one read of the changes since its revision, shared by everybody who asked before that read
 was sent, so a poll costs the state service a fraction of a request.
 """
 
+import logging
 import threading
 import time
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import TypeVar
 
 from bayford.storage import records
+from bayford.storage.ledger import Ledger, Progress
+from bayford.storage.records import JOBS, LOG, Unreadable
 from bayford.storage.store import Compacted, Row, Store, Unavailable, Unknown
 
+log = logging.getLogger("bayford.mirror")
+
+T = TypeVar("T")
 Listener = Callable[[list[Row]], None]
 
 
 class Mirror:
     """All rows under `records.PREFIX`, by key."""
 
-    def __init__(self, store: Store, listener: Listener | None = None, threaded: bool = True) -> None:
+    def __init__(
+        self, store: Store, value_bytes: int, listener: Listener | None = None, threaded: bool = True
+    ) -> None:
         """Without `threaded` there is no thread behind `fresh`: the caller's own reads."""
         self._threaded = threaded
+        self.ledger = Ledger(value_bytes)
+        self._reading = False  # one reload at a time
+        # The rows read page by page are of several moments. Only the changes that follow make them one.
+        self._torn = True
         self._store = store
         self._lock = threading.Lock()
         self._rows: dict[str, Row] = {}
+        self._families: dict[str, dict[str, Row]] = {}  # the same rows by the first two words of their keys
         self._gone: dict[str, int] = {}
-        self._records: dict[str, tuple[int, records.Record]] = {}
+        self._records: dict[str, tuple[int, records.Record]] = {}  # decoded, by key
         self.revision = -1  # -1: never loaded
         self.fresh_at = -1e18  # a moment at which the mirror was known to be complete
         self._listener = listener
@@ -41,16 +54,24 @@
         """Take rows in and tell the listener those that were news, unless they are its own writes."""
         news = []
         with self._lock:
+            told: list[Row] = []
             for row in rows:
                 old = self._rows.get(row.key)
                 if (old is not None and old.stamp >= row.stamp) or self._gone.get(row.key, -1) >= row.stamp:
                     continue
+                family = self._families.setdefault(_family(row.key), {})
                 if row.value is None:
                     self._rows.pop(row.key, None)
+                    family.pop(row.key, None)
                     self._gone[row.key] = row.stamp
                 else:
-                    self._rows[row.key] = row
-                news.append(row)
+                    self._rows[row.key] = family[row.key] = row
+                if row.key.startswith(LOG):
+                    told.append(row)
+                else:
+                    news.append(row)
+            if not self._torn:
+                self._extend(told)
             if revision is not None and revision > self.revision:
                 self.revision = revision
                 if len(self._gone) > 2000:
@@ -58,19 +79,53 @@
         if news and tell and self._listener is not None:
             self._listener(news)
 
+    def _extend(self, told: list[Row]) -> None:
+        try:
+            for row in told:
+                self.ledger.take(row.key, row.stamp, row.value)
+        except Unreadable as bad:
+            log.error("%s", bad)
+            self._torn = True
+
     def reload(self) -> None:
         """Read everything again: at the start, and when the changes have been compacted."""
+        with self._lock:
+            if self._reading:
+                raise Unavailable("the records are being read")
+            self._reading = True
+        try:
+            self._reload()
+        except Compacted as bad:
+            raise Unavailable("the records change faster than they are read") from bad
+        finally:
+            self._reading = False
+
+    def _reload(self) -> None:
         rows, revision = self._store.scan(records.PREFIX)
         keys = {row.key for row in rows}
         with self._lock:
+            self._torn = True
             missing = [
                 Row(k, None, revision) for k, r in self._rows.items() if k not in keys and r.stamp <= revision
             ]
         self.apply([*rows, *missing], revision)
+        rows, revision = self._store.changes(records.PREFIX, revision, 0.0)
+        self.apply(rows, revision)
+        with self._lock:
+            self._rebuild()
+
+    def _rebuild(self) -> None:
+        found = [(r.key, r.stamp, r.value) for r in self._families.get(LOG, {}).values()]
+        try:
+            self.ledger.rebuild(found)
+            self._torn = False
+        except Unreadable as bad:
+            # Whatever it held must not pass for never having been: nobody starts anything from here.
+            log.error("%s", bad)
 
     def pull(self, wait_s: float) -> None:
         """One read of changes, waiting up to `wait_s` for the first."""
-        if self.revision < 0:
+        if self.revision < 0 or self._torn:
             self.reload()
         began = time.monotonic()
         try:
@@ -82,6 +137,13 @@
         if wait_s == 0:
             self.fresh_at = max(self.fresh_at, began)
 
+    def with_ledger(self, call: Callable[[Ledger], T]) -> T:
+        """Something short on the ledger, which the caller must not keep."""
+        with self._lock:
+            if self._torn:
+                raise Unavailable("the records are being read")
+            return call(self.ledger)
+
     # -- linearizable reads ----------------------------------------------------------------------------
 
     def fresh(self, timeout_s: float) -> bool:
@@ -132,44 +194,78 @@
         with self._lock:
             return self._rows.get(key)
 
-    def below(self, prefix: str) -> list[Row]:
-        """The rows with a prefix, in key order."""
+    def below(self, family: str) -> list[Row]:
+        """The rows of one family (`records.MEMBERS` and the like), in key order."""
         with self._lock:
-            return sorted((r for k, r in self._rows.items() if k.startswith(prefix)), key=lambda r: r.key)
+            return sorted(self._families.get(family, {}).values(), key=lambda r: r.key)
+
+    def knows(self, job_id: str) -> bool:
+        """Whether there is a record of the job, as far as is known here."""
+        return records.key(job_id) in self._rows
 
-    def record(self, job_id: str) -> tuple[records.Record, int] | None:
-        """A job's record and stamp as mirrored, or None if there is none.
+    def state(self, job_id: str) -> records.State | None:
+        """A job's record and where its tasks stand, or None if there is none.
 
-        Unavailable while its pieces don't belong together: a reload reads page by page, and a piece may have
-        been written between two of them. The changes that follow mend it; until then nobody may be told 404.
+        Unavailable while the rows are being read again, or if they can't be read.
         """
-        base_key = records.key(job_id)
         with self._lock:
-            row = self._rows.get(base_key)
+            row = self._rows.get(records.key(job_id))
             if row is None:
+                if self._torn:
+                    raise Unavailable("the records are being read")
                 return None
-            known = self._records.get(job_id)
-            if known is not None and known[0] == row.stamp:
-                return known[1], row.stamp
-            rest: list[Any] = []
-            for n in range(1, records.pieces(row.value)):
-                piece = self._rows.get(f"{base_key}.{n}")
-                if piece is None:
-                    raise Unavailable(f"a piece of {base_key} is missing")
-                rest.append(piece.value)
+            record = self._record(row)
+            if record.over:
+                return records.State(record, row.stamp, 0, record.done)
+            if self._torn:
+                raise Unavailable("the records are being read")
+            progress = self.ledger.jobs.get(job_id)
+            if progress is None:
+                return records.State(record, row.stamp)
+            return records.State(record, row.stamp, len(progress.open), len(progress.done))
+
+    def _record(self, row: Row) -> records.Record:
+        known = self._records.get(row.key)
+        if known is not None and known[0] == row.stamp:
+            return known[1]
         try:
-            record = records.decode(row.value, rest)
-        except (ValueError, TypeError, KeyError) as bad:
-            raise Unavailable(f"the pieces of {base_key} don't fit: {bad!r}") from bad
+            record = records.decode(row.value)
+        except Unreadable as bad:
+            log.error("%s: %s", row.key, bad)
+            raise Unavailable(f"{row.key} can't be read") from bad
+        self._records[row.key] = (row.stamp, record)
+        return record
+
+    def orders(self, machine: str) -> list[tuple[str, int, int, int, bool]]:
+        """What the records put on a machine: job, task, attempt, session, whether the job is cancelled."""
         with self._lock:
-            self._records[job_id] = (row.stamp, record)
-        return record, row.stamp
+            if self._torn:
+                raise Unavailable("the records are being read")
+            out = []
+            for (job, task), (attempt, session) in self.ledger.at.get(machine, {}).items():
+                row = self._rows.get(records.key(job))
+                if row is not None:
+                    out.append((job, task, attempt, session, self._record(row).cancelled > 0))
+            return out
 
-    def job_ids(self) -> list[str]:
-        """Ids of all jobs mirrored."""
+    def open_jobs(self) -> list[tuple[records.Record, int, Progress | None]]:
+        """All jobs that somebody must still look after, for a new owner. Unavailable if any can't be read."""
         with self._lock:
-            return [
-                k[len(records.JOBS) :]
-                for k in self._rows
-                if k.startswith(records.JOBS) and not records.is_piece(k)
-            ]
+            if self._torn:
+                raise Unavailable("the records are being read")
+            out = []
+            for row in self._families.get(JOBS, {}).values():
+                record = self._record(row)
+                progress = self.ledger.jobs.get(record.spec.id)
+                if not record.over or (progress is not None and progress.open):
+                    out.append((record, row.stamp, progress))
+            return out
+
+    def jobs_since(self, revision: int) -> list[Row]:
+        """The records of jobs that were written after a revision."""
+        with self._lock:
+            return [r for r in self._families.get(JOBS, {}).values() if r.stamp > revision]
+
+
+def _family(key: str) -> str:
+    return key[: key.find("/", len(records.PREFIX)) + 1]
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -37,4 +37,5 @@
 # balance_trials = 4         # trials, each of
 # balance_iterations = 3     # iterations
 # balance_sources = 3        # machines tried as the source for a waiting task
+# balance_jobs = 4           # waiting jobs that moves are looked for in one round
 # summary_every_s = 30.0     # a controller's summary goes to the state service this often
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,134 @@
+"""The ledger: what the rows add up to, read one by one or all at once, and how long the log gets."""
+
+import random
+
+import orjson
+import pytest
+
+from bayford.storage.ledger import KEEP_ROWS, Ledger, RowMaker
+from bayford.storage.records import Unreadable
+
+
+class Writer:
+    """An owner that appends random news, beside the plain truth of what it has written."""
+
+    def __init__(self, value_bytes: int, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.ledger = Ledger(value_bytes)
+        self.stored: dict[str, tuple[int, object]] = {}
+        self.truth: dict[str, dict[int, object]] = {}
+        self.over: set[str] = set()
+        self.attempt = 1
+        self.stamp = 10
+
+    def append(self, jobs: int, tasks: int) -> tuple[str, int, object]:
+        ledger, rng = self.ledger, self.rng
+        maker = RowMaker(ledger, ledger.next, ledger.dead_before(), self.attempt + 40)
+        for _ in range(rng.randint(1, 12)):
+            job, task = f"req-{rng.randrange(jobs)}", rng.randrange(tasks)
+            machine = f"vm-{rng.randrange(99):06d}"
+            if job in self.over or not maker.room(job, machine):
+                continue
+            told = self.truth.setdefault(job, {})
+            if any(task in flat.get(job, ()) for flat in (maker.value.d, maker.value.c)):
+                continue
+            if job in maker.value.o and task in maker.value.o[job][::3]:
+                continue
+            if told.get(task) == "done":
+                continue  # for good
+            kind = rng.random()
+            if kind < 0.5:
+                self.attempt += 1
+                maker.opened(job, task, self.attempt, machine, 1)
+                told[task] = (self.attempt, machine, 1)
+            elif kind < 0.9:
+                maker.done(job, task)
+                told[task] = "done"
+            else:
+                maker.closed(job, task)
+                told.pop(task, None)
+        if self.truth and rng.random() < 0.02:
+            job = rng.choice(sorted(self.truth))
+            if maker.room(job):
+                maker.over(job)
+                del self.truth[job]
+                self.over.add(job)
+        maker.snapshots()
+        slot, before = ledger.slots(1)[0]
+        assert self.stored.get(slot, (0, None))[0] == before, "the slot's stamp is known"
+        self.stamp += 1
+        value = orjson.loads(orjson.dumps(maker.finish()))
+        assert len(orjson.dumps(value)) <= ledger.value_bytes
+        self.stored[slot] = (self.stamp, value)
+        return slot, self.stamp, value
+
+    def state(self, ledger: Ledger) -> dict[str, dict[int, object]]:
+        return {
+            job: dict.fromkeys(p.done, "done") | {t: tuple(place) for t, place in p.open.items()}
+            for job, p in ledger.jobs.items()
+        }
+
+
+@pytest.mark.parametrize("value_bytes", [600, 1024, 4096, 8192])
+def test_reading_all_rows_gives_what_reading_one_by_one_gave(value_bytes):
+    w = Writer(value_bytes, value_bytes)
+    late = Ledger(value_bytes)
+    held: list[tuple[str, int, object]] = []
+    longest = 0
+    for n in range(1500):
+        row = w.append(jobs=12, tasks=60)
+        w.ledger.take(*row)
+        held.append(row)
+        if len(held) > 3 or n % 7 == 0:
+            w.rng.shuffle(held)  # rows that overtake others wait for them
+            for found in held:
+                late.take(*found)
+            held.clear()
+        longest = max(longest, len(w.stored))
+        if n % 100 == 99:
+            # In any order, as a new owner reads them; rows that are free but still there do no harm.
+            rows = [(slot, stamp, value) for slot, (stamp, value) in w.stored.items()]
+            w.rng.shuffle(rows)
+            fresh = Ledger(value_bytes)
+            fresh.rebuild(rows)
+            want = {job: told for job, told in w.truth.items() if told}
+            assert {j: t for j, t in w.state(fresh).items() if t} == want
+            assert {j: t for j, t in w.state(w.ledger).items() if t} == want
+            assert (fresh.next, fresh.tail, fresh.slots(3)) == (
+                w.ledger.next,
+                w.ledger.tail,
+                w.ledger.slots(3),
+            )
+            assert fresh.at == w.ledger.at
+    for found in held:
+        late.take(*found)
+    assert w.state(late) == w.state(w.ledger)
+    if value_bytes >= 4096:
+        assert longest <= 3 * KEEP_ROWS, "the log stays short while open work fits into a few rows"
+
+
+def test_a_row_that_is_missing_or_not_ours_is_never_taken_for_nothing():
+    w = Writer(4096, 1)
+    for _ in range(40):
+        w.ledger.take(*w.append(3, 30))
+    rows = [(slot, stamp, value) for slot, (stamp, value) in w.stored.items() if value["n"] >= w.ledger.tail]
+    rows.sort(key=lambda row: row[2]["n"])
+    with pytest.raises(Unreadable):
+        Ledger(4096).rebuild(rows[:-2] + rows[-1:])
+    with pytest.raises(Unreadable):
+        Ledger(4096).rebuild([*rows, ("b/log/99", 5, {"n": "x"})])
+
+
+def test_a_job_of_a_hundred_thousand_tasks_fits_into_rows():
+    ledger = Ledger(4096)
+    for stamp, first in enumerate(range(0, 100_000, 400)):
+        maker = RowMaker(ledger, ledger.next, ledger.dead_before(), 1)
+        for task in range(first, first + 400, 2):
+            assert maker.room("req-1")
+            maker.done("req-1", task)
+        maker.snapshots()
+        slot, _ = ledger.slots(1)[0]
+        value = orjson.loads(orjson.dumps(maker.finish()))
+        assert len(orjson.dumps(value)) <= 4096
+        ledger.take(slot, stamp, value)
+    assert len(ledger.jobs["req-1"].done) == 50_000
