A relay of a whole zone speaks in few changes; many that fall silent together get more time

With the owner in the other zone all 320 machines of a zone came to one relay; their reports took nine or more changes a go, the state service refused them, and the owner, hearing nothing for 14 s, deleted 314 machines. Ruled out: leases (0 killed), deaf machines (0 found).

Change: reports are passed on compressed (320 of them in 3 values of 8 KiB, before 9), a relay that needs more values speaks less often, and a refused publication is repeated. If more than a quarter of the machines fall silent together the bound on silence is 2.5 times as long; a wave of spot machines shows in the cloud's list. After a takeover nothing is rented before a list that holds what the owner before had rented.

--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -117,6 +117,8 @@
         self.verified_at = -1e18
         self.last_report = -1e18
         self.owner_since = 0.0
+        self.inherited = False  # machines or work of an owner before us
+        self.listed_at = -1e18  # when the cloud's last list was asked for
         self.late_picture: dict[str, list[str]] = {}
         self.renting: dict[fleet.Option, int] = {}
         self.urgent_jobs: list[tuple[float, float]] = []  # when accepted, CPUs
@@ -154,6 +156,7 @@
             now = self.owner_since = self.clock()
             for record, stamp, progress in found:
                 self._load(record, stamp, now, progress)
+            self.inherited = bool(self.jobs or self.late_picture)
             self.complete = True
             log.info("owner of %d open jobs on %d machines", len(self.jobs), len(self.machines))
 
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -212,8 +212,12 @@
         if not puts:
             return
         step = self.settings.facts.state.txn_ops
-        for at in range(0, len(puts), step):
-            self.store.commit({}, puts[at : at + step])
+        try:
+            for at in range(0, len(puts), step):
+                self.store.commit({}, puts[at : at + step])
+        except (Unavailable, Unknown):
+            self.relay.not_published()
+            raise
 
     def _commit_step(self) -> float:
         """Group commit: what is dirty goes out, the most urgent first, within the rate of writes."""
--- a/bayford/coordination/relay.py
+++ b/bayford/coordination/relay.py
@@ -6,22 +6,23 @@
 for they were committed before any start went out. It decides nothing by itself.
 """
 
+import logging
 import threading
 from collections.abc import Callable
-from typing import Any
-
-import orjson
 
 from bayford.protocol import mesh, workers
 from bayford.storage import records
 from bayford.storage.mirror import Mirror
 from bayford.storage.store import Put, Row
 
+log = logging.getLogger("bayford.relay")
+
 SHELTER_S = 30.0
 RETURN_S = 20.0
 FIRST_S = 10.0  # until the owner is tried again by a machine that lost it
 AGAIN_S = 60.0
 OLD_S = 15.0
+CHANGED_S, UNCHANGED_S = 0.7, 4.0  # how often the reports are passed on
 MOST = 4000  # machines remembered
 
 
@@ -128,26 +129,24 @@
             self._reports = {m: r for m, r in self._reports.items() if now - r[0] < 8.0}
             if not self._reports and not self._keys:
                 return []
-            if now - self._published < (0.7 if self._changed else 4.0):
+            # A relay of many takes more changes, so it speaks less often.
+            if now - self._published < (CHANGED_S * max(1, self._keys) if self._changed else UNCHANGED_S):
                 return []
             self._published = now
             self._changed = False
-            rows = [mesh.pack_report(report) for _, report in self._reports.values()]
-        chunks: list[list[Any]] = []
-        size = self._value_bytes
-        for row in rows:
-            length = len(orjson.dumps(row)) + 1
-            if size + length > self._value_bytes - 64:
-                chunks.append([])
-                size = 0
-            chunks[-1].append(row)
-            size += length
+            reports = [report for _, report in self._reports.values()]
+        texts = mesh.pack_reports(reports, self._value_bytes - 64)
         at = round(self._wall(), 1)
-        puts = [Put(self._key(n), {"at": at, "reports": chunk}) for n, chunk in enumerate(chunks)]
-        puts += [Put(self._key(n), None) for n in range(len(chunks), self._keys)]
-        self._keys = len(chunks)
+        puts = [Put(self._key(n), {"at": at, "reports": text}) for n, text in enumerate(texts)]
+        puts += [Put(self._key(n), None) for n in range(len(texts), self._keys)]
+        self._keys = len(texts)
         return puts
 
+    def not_published(self) -> None:
+        """The writes were refused, or it is not known: again soon."""
+        with self._lock:
+            self._changed = True
+
     def _key(self, n: int) -> str:
         return f"{records.RELAYS}{self._name}/{n}"
 
@@ -161,4 +160,8 @@
     name = row.key[len(records.RELAYS) :].partition("/")[0]
     if row.value is None or wall - row.value["at"] > OLD_S:
         return name, []
-    return name, [mesh.unpack_report(r) for r in row.value["reports"]]
+    try:
+        return name, mesh.unpack_reports(row.value["reports"])
+    except ValueError as bad:
+        log.error("%s: %s", row.key, bad)
+        return name, []
--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -33,6 +33,7 @@
             if not self.owner:
                 return
             now = self.clock()
+            self.listed_at = began
             names = set()
             for name, kind, zone, spot, phase, age in listed:
                 names.add(name)
@@ -128,6 +129,9 @@
         return needs
 
     def _rentals(self, step: FleetStep, now: float, needs: list[fleet.Need]) -> None:
+        if self.listed_at < self.owner_since + self.settings.facts.cloud.list_lag_s * bool(self.inherited):
+            # What the owner before us rented a moment ago is in no list yet: renting now would rent it twice.
+            return
         spare: dict[fleet.Option, int] = dict(self.renting)
         cpus = 0.0
         for machine in self.machines.values():
@@ -187,8 +191,15 @@
 
     def _deletions(self, step: FleetStep, now: float, needs: list[fleet.Need]) -> None:
         facts = self.settings.facts.workers
-        # If nobody at all reports, the fault lies with this controller or the network: wait longer.
-        deaf = now - self.last_report > 3.0 or now - self.owner_since < facts.lease_s
+        # If nobody at all reports, or many machines fall silent together, the fault lies with this controller
+        # or the network: wait longer. A wave of spot machines taken shows in the cloud's list.
+        known = [m for m in self.machines.values() if m.reported and not m.deleting]
+        quiet_now = sum(now - m.heard > 2.5 * facts.report_s for m in known)
+        deaf = (
+            now - self.last_report > 3.0
+            or now - self.owner_since < facts.lease_s
+            or quiet_now > max(3, len(known) // 4)
+        )
         silent = facts.lease_s * (2.5 if deaf else 1.0) + facts.report_s
         # Right after a takeover the workers may still be answered by the deposed owner, who can't know
         # yet if the state service refuses only it; it stops by itself at this bound.
--- a/bayford/protocol/mesh.py
+++ b/bayford/protocol/mesh.py
@@ -1,5 +1,7 @@
 """What controllers tell one another: over the mesh, and through the store when the mesh is cut."""
 
+import base64
+import zlib
 from typing import Any
 
 import msgspec
@@ -48,3 +50,28 @@
         tick=row[6], token=row[7], notice_s=row[8],
         tasks=[TaskState(part=t[0], attempt=t[1], phase=t[2], why=t[3], saved=bool(t[4])) for t in row[9]],
     )  # fmt: skip
+
+
+def pack_reports(reports: list[Report], most: int) -> list[str]:
+    """Reports as texts of at most `most` characters, as few as they fit into.
+
+    In a cut between zones hundreds of machines speak through one relay, and each text is one of the few
+    changes a second that all controllers share. The reports are much alike and shrink to a fifth. The
+    alphabet of base 85 has no character that JSON escapes.
+    """
+    if not reports:
+        return []
+    body = orjson.dumps([pack_report(report) for report in reports])
+    text = base64.b85encode(zlib.compress(body, 6)).decode()
+    if len(text) <= most or len(reports) == 1:
+        return [text]
+    half = len(reports) // 2
+    return pack_reports(reports[:half], most) + pack_reports(reports[half:], most)
+
+
+def unpack_reports(text: str) -> list[Report]:
+    """The inverse, of one text; raises ValueError for anything else."""
+    try:
+        return [unpack_report(row) for row in orjson.loads(zlib.decompress(base64.b85decode(text)))]
+    except (zlib.error, IndexError, TypeError) as bad:
+        raise ValueError(f"not reports: {bad!r}") from bad
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -181,6 +181,26 @@
         workers.parse_report(body.replace(b'"shift":2', b'"shift":"2"'))
 
 
+def test_the_reports_of_a_whole_zone_fit_into_few_changes_of_the_state_service():
+    reports = [
+        workers.Report(
+            machine=f"vm-{n:06d}", address=f"10.1.{n // 250}.{n % 250}:9000", type="wrobel", zone="krakow",
+            spot=True, session=1, tick=n * 7, token=3,
+            tasks=[
+                workers.TaskState(part=f"req-{n * 37 % 999:06d}/{k + n}", attempt=n * 4 + k, phase="running")
+                for k in range(4)
+            ],
+        )
+        for n in range(320)
+    ]  # fmt: skip
+    texts = mesh.pack_reports(reports, 8 * 1024 - 64)
+    assert len(texts) <= 3 and all(len(text) <= 8 * 1024 - 64 for text in texts)
+    assert [r for text in texts for r in mesh.unpack_reports(text)] == reports
+    for bad in ("!", "", texts[0][:-5]):
+        with pytest.raises(ValueError):
+            mesh.unpack_reports(bad)
+
+
 def _ask(port: int, raw: bytes) -> bytes:
     with socket.create_connection(("127.0.0.1", port), timeout=5) as sock:
         sock.sendall(raw)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -988,6 +988,23 @@
     assert running(w) == []
 
 
+def test_when_many_fall_silent_together_they_get_more_time_than_one_alone():
+    w = quiet(machines=8)
+    w.submit("n0", w.job(1, crew="blue", parts=16, guess_s=200.0))
+    wait(w, 3.0)
+    before = running(w)
+    cut = sorted(w.workers)[:4]
+    w.cut |= {(name, "n0") for name in cut}
+    wait(w, 20.0)
+    assert w.deleted == [], "a cut, most likely"
+    w.cut.clear()
+    wait(w, 5.0)
+    assert len(running(w)) == 16 and before
+    w.cut.add((cut[0], "n0"))
+    wait(w, 20.0)
+    assert w.deleted == [cut[0]]
+
+
 def test_when_many_seem_deaf_the_fault_is_ours_and_none_is_replaced():
     w = quiet(machines=8)
     for worker in w.workers.values():
