--- a/bayford/coordination/rounds.py
+++ b/bayford/coordination/rounds.py
@@ -69,7 +69,6 @@
         tasks at least every `turn_s` and the time until room is next given back.
         """
         out: list[tuple[tuple[float, ...], Job, int]] = []
-        critical = self._critical()
         for job in self.jobs.values():
             if not job.waiting or job.cancelled or job.not_before > now:
                 continue
@@ -93,30 +92,11 @@
             if owed and age > self.policy.guarantee_wait_s:
                 out.append(((1.0, 0.0, 0.0, -age), job, owed))
             guaranteed = 0.0 if owed and self.policy.guarantee_first else 1.0
-            rank = self._rank(job, run, age)
-            if self.policy.late_last and not self._at_stake(job, run, age):
-                order: tuple[float, ...] = (2.0, guaranteed, 1.0, -critical[job.team], rank)
-            else:
-                order = (2.0, guaranteed, 0.0, -float(job.spec.priority), rank)
+            order = (2.0, guaranteed, -float(job.spec.priority), self._rank(job, run, age))
             out.append((order, job, count))
         out.sort(key=lambda entry: entry[0])
         return out
 
-    def _critical(self) -> list[float]:
-        """Seconds that each team needs for what waits, at its limit: the longest sets the end of it all."""
-        work = [0.0] * len(self.shares)
-        for job in self.jobs.values():
-            work[job.team] += (len(job.waiting) + 0.5 * len(job.open)) * self.expected(job) * job.spec.cpus
-        return [w / max(s.cpus_max, EPS) for w, s in zip(work, self.shares, strict=True)]
-
-    def _at_stake(self, job: Job, run: float, age: float) -> bool:
-        """Whether an aim of the users may still be met or missed by how soon the job is served."""
-        target = job.spec.deadline_s or self.targets.get(job.spec.job_class)
-        if target is None:
-            return False
-        team = max(self.shares[job.team].cpus_max, EPS)
-        return age + max(run, len(job.waiting) * run * job.spec.cpus / team) <= target
-
     def waiting(self, most: int = 5) -> list[str]:
         """For the log: the oldest waiting jobs and why they wait, and how the whole stands."""
         with self.lock:
@@ -271,8 +251,7 @@
                 owed = share.owed(job.spec)
             if job.spec.priority < URGENT:
                 # Room is taken back for the guarantee alone, not for what would be borrowed on top.
-                soon = now - job.created > self.policy.owed_wait_s
-                need = min(need, share.owed(job.spec) if soon else owed)
+                need = min(need, owed)
             need -= kept.get(job.spec.id, 0)
             if need > 0:
                 out.append((job, need, owed))
@@ -291,8 +270,7 @@
                 if not place.on_turn and preemption.may_stop(waiting, job, after, owed):
                     expected = self.expected(job)
                     ran = 0.0 if place.running_since is None else now - place.running_since
-                    soon = not owed or expected - ran < self.policy.guarantee_wait_s / 2
-                    if waiting.spec.priority < URGENT and not job.spec.checkpoint_s and soon:
+                    if waiting.spec.priority < URGENT and expected - ran < self.policy.guarantee_wait_s / 2:
                         continue  # it gives the room back by itself soon; stopping it wastes its work
                     loss = preemption.lost_work(job, place, now, expected)
                     found.append(preemption.Victim(job, place, loss))
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -10,14 +10,12 @@
     # order of service
     aging_s: float = 60.0
     guarantee_first: bool = True
-    late_last: bool = False
     turn_s: float = 120.0
     turn_share: float = 0.02
     # preemption
     preempt_per_round: int = 16
     preempt_wait_s: float = 1.0
     guarantee_wait_s: float = 300.0
-    owed_wait_s: float = 1e9
     fetch_weight: float = 8.0
     # renting and returning
     ordinary_after_s: float = 1e9
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -7,7 +7,6 @@
 # --- order of service
 # aging_s = 60.0             # after this long a waiting job counts as half its size
 # guarantee_first = True     # work within its team's guarantee goes before work that borrows
-# late_last = False          # work whose aim is past saving, or that has none, goes after work with one at stake
 # turn_s = 120.0             # a job of which nothing was started for so long goes before all others, for
 # turn_share = 0.02          # this share of its tasks, rounded up, which nobody then pushes out
 
@@ -15,7 +14,6 @@
 # preempt_per_round = 16     # tasks stopped for waiting work in one round
 # preempt_wait_s = 1.0       # room that tasks ending by themselves give back within this is not made by stops
 # guarantee_wait_s = 300.0  # how long work within a guarantee waits before it pushes out borrowed work
-# owed_wait_s = 1e9         # how long it waits before it pushes out checkpointing work of lower priority
 # fetch_weight = 8.0         # how much a fetch counts against a machine when victims are chosen
 
 # --- renting and returning
