Room goes where the image is; a job that runs elsewhere is not at fault for sick machines

As long as a task of the job is done, or has run 5 s elsewhere, the machines are to blame, and two failures of such a job are enough; the time a job is held back grows with how often it was, no longer with how many tasks failed at once.

In a backlog, room on a machine without a job's image is left to a job whose image is there, if the first has its image on a tenth of the fleet. The picture of a machine's images forgets those used longest ago when its cache is full.

--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -128,6 +128,9 @@
         self.balance_asked = 0  # rounds in which work waited although its team has room
         self.balance_tried = 0  # jobs in them for which moves were looked for
         self.preempt_at = -1e18
+        self.image_gb: dict[int, float] = {}
+        self.images_at = -1e18
+        self.local_images: frozenset[int] = frozenset()
         self.moves = 0
         self.dear_serves = True
 
@@ -245,6 +248,23 @@
         else:
             self.roomy.pop(machine.index, None)
 
+    def _use_image(self, machine: Machine, job: Job, there: bool) -> None:
+        """A task of the job is on the machine, and with `there` its image too. The machine keeps those that
+        were used last, so in our picture the ones used longest ago go when the cache is full."""
+        had = machine.images.pop(job.image, False)
+        machine.images[job.image] = had or there
+        self.image_gb[job.image] = job.spec.image_gb
+        cache = self.types[machine.type].cache_gb if machine.type is not None else 0.0
+        if had or not there or not cache:
+            return
+        used = {place.job.image for place in machine.open.values()} | {job.image}
+        left = sum(self.image_gb.get(image, 0.0) for image in machine.images) - cache
+        for image in [i for i in machine.images if i not in used]:
+            if left <= 0:
+                break
+            del machine.images[image]
+            left -= self.image_gb.get(image, 0.0)
+
     def _book(self, job: Job, machine: Machine, place: Placement) -> None:
         job.open[place.task] = place
         machine.open[place.key] = place
--- a/bayford/coordination/reports.py
+++ b/bayford/coordination/reports.py
@@ -11,6 +11,7 @@
 ANSWER_S = 4.5  # a worker drops answers that come later than 4 s
 DEAF_ANSWERS = 3  # so many answers in a row of which nothing shows
 DEAF_LAPSES = 2
+RUNS_S = 5.0  # a task that has run for so long is no failure
 
 
 class Reports(Books):
@@ -134,9 +135,9 @@
         if state.phase == workers.FETCHING:
             machine.images.setdefault(place.job.image, False)
         elif state.phase == workers.RUNNING:
-            machine.images[place.job.image] = True
             if place.running_since is None:
                 place.running_since = now
+                self._use_image(machine, place.job, there=True)
         elif state.phase == workers.ENDED:
             self._ended(machine, place, state, now)
 
@@ -145,7 +146,7 @@
         self._close(machine, place, now)
         if state.why == workers.DONE and job.spec.shape != SERVICE:
             job.done.add(place.task)
-            machine.images[job.image] = True
+            self._use_image(machine, job, there=True)
             machine.good += 1
             machine.failed_jobs.clear()
             if place.running_since is not None:
@@ -187,8 +188,15 @@
             "run failed: task %s on %s (%d failed runs of the job, on %d machines)",
             part, machine.name, job.errors, len(job.failed_on),
         )  # fmt: skip
-        if len(job.failed_on) >= self.policy.job_fault_machines and not job.done:
-            wait = min(60.0, 2.0 ** min(job.errors, 6))
+        # Of hundreds of machines some are sick at the same time, and a large array meets several of them: as
+        # long as it runs elsewhere, the fault is not the job's.
+        runs = bool(job.done) or any(
+            p.running_since is not None and now - p.running_since > RUNS_S and p.machine not in job.failed_on
+            for p in job.open.values()
+        )
+        if len(job.failed_on) >= self.policy.job_fault_machines and not runs:
+            wait = min(60.0, 8.0 * 2.0 ** min(job.held_back, 3))
+            job.held_back += 1
             job.not_before = now + wait
             job.failed_on.clear()
             log.error("job %s fails on every machine; next try in %.0f s", job.spec.id, wait)
@@ -196,7 +204,7 @@
         if len(job.failed_on) > 8:
             job.failed_on.clear()
         several = len(machine.failed_jobs) >= 2
-        alone = sum(machine.failed_jobs.values()) >= 3 and (job.done or machine.good == 0)
+        alone = sum(machine.failed_jobs.values()) >= 2 and runs
         if (several or alone) and not machine.quarantined:
             machine.quarantined = True
             log.error("machine %s quarantined: %s failed there", machine.name, list(machine.failed_jobs))
--- a/bayford/coordination/rounds.py
+++ b/bayford/coordination/rounds.py
@@ -48,15 +48,48 @@
                 self._balance(waiting, now)
 
     def _place_all(self, queue: list[tuple[tuple[float, ...], Job, int]], now: float) -> None:
-        """Work of a round follows the room there is: when that is gone, nobody else is asked."""
+        """Work of a round follows the room there is: when that is gone, nobody else is asked.
+
+        In a backlog, room on a machine without a job's image is better left to a job whose image is there,
+        as long as the first finds its own on enough other machines: a fetch takes as long as many a task.
+        """
         roomy = [m for m in self.roomy.values() if m.usable and m.full_until <= now]
+        local = self._spread_images(now) if roomy else frozenset()
+        passed: list[tuple[Job, int]] = []
         for _, job, count in queue:
             if not roomy:
                 job.why_waiting = NO_ROOM
                 continue
+            picky = job.image in local and job.spec.priority < URGENT and job.spec.shape != GANG
+            if picky:
+                here = [m for m in roomy if job.image in m.images]
+                before = len(job.waiting)
+                self._place(job, count, here, now)
+                count -= before - len(job.waiting)
+                if count > 0 and job.waiting:
+                    passed.append((job, count))
+            else:
+                self._place(job, count, roomy, now)
+            roomy = [m for m in roomy if m.index in self.roomy]
+        for job, count in passed:
+            if not roomy:
+                break
             self._place(job, count, roomy, now)
             roomy = [m for m in roomy if m.index in self.roomy]
 
+    def _spread_images(self, now: float) -> frozenset[int]:
+        """Images that are on so many machines that a job may wait for room on one of them."""
+        if now - self.images_at > 2.0:
+            self.images_at = now
+            count: dict[int, int] = {}
+            machines = [m for m in self.machines.values() if m.usable]
+            for machine in machines:
+                for image, there in machine.images.items():
+                    count[image] = count.get(image, 0) + there
+            enough = self.policy.image_share * len(machines)
+            self.local_images = frozenset(i for i, n in count.items() if n > enough)
+        return self.local_images
+
     def _queue(self, now: float, turns: bool = True) -> list[tuple[tuple[float, ...], Job, int]]:
         """Jobs with waiting tasks in the order of service.
 
@@ -171,7 +204,7 @@
         self._touch(job, task)
         place.on_turn = on_turn
         job.placed_at = now
-        machine.images.setdefault(job.image, False)
+        self._use_image(machine, job, there=False)
         if machine.kept_for == job.spec.id:
             machine.kept_until = 0.0
 
--- a/bayford/protocol/cloud_api.py
+++ b/bayford/protocol/cloud_api.py
@@ -106,6 +106,7 @@
                 b.boot_s,
                 b.fetch_gb_per_s,
                 tuple(b.yards),
+                b.cache_gb,
             )
             for b in got.builds
         ]
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -81,6 +81,7 @@
     boot_s: float
     fetch_gb_per_s: float
     zones: tuple[str, ...]
+    cache_gb: float = 0.0
 
     def fits(self, spec: JobSpec) -> bool:
         """Whether one task of the job fits into an empty machine of this type."""
@@ -135,6 +136,7 @@
     placed_at: float = -1e18  # when a task of it was last put on a machine
     not_before: float = 0.0
     errors: int = 0
+    held_back: int = 0  # how often it was held back because it failed everywhere
     failed_on: set[int] = field(default_factory=set)
     hints: dict[int, int] = field(default_factory=dict)  # task -> machine that the balancer chose for it
     why_waiting: str = ""
@@ -183,7 +185,8 @@
     failed_jobs: dict[str, int] = field(default_factory=dict)
     good: int = 0
     idle_since: float = 0.0
-    images: dict[int, bool] = field(default_factory=dict)  # image -> fetched (False: on its way)
+    # image -> fetched (False: on its way), the one used last at the end
+    images: dict[int, bool] = field(default_factory=dict)
     open: dict[tuple[str, int], Placement] = field(default_factory=dict)
     free_cpus: float = 0.0
     free_gpus: float = 0.0
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -10,6 +10,7 @@
     # order of service
     aging_s: float = 60.0
     guarantee_first: bool = True
+    image_share: float = 0.1
     turn_s: float = 120.0
     turn_share: float = 0.02
     # preemption
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -7,6 +7,7 @@
 # --- order of service
 # aging_s = 60.0             # after this long a waiting job counts as half its size
 # guarantee_first = True     # work within its team's guarantee goes before work that borrows
+# image_share = 0.1          # an image on so many machines: its jobs leave room elsewhere to others, if any
 # turn_s = 120.0             # a job of which nothing was started for so long goes before all others, for
 # turn_share = 0.02          # this share of its tasks, rounded up, which nobody then pushes out
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -1,5 +1,6 @@
 """Short stories of failures, one rule or one guard each, against the in-memory world."""
 
+import msgspec
 import pytest
 from world import World
 
@@ -501,6 +502,61 @@
     assert not any(m.quarantined for m in w.nodes["n0"].engine.machines.values())
 
 
+def test_an_array_that_fails_on_some_machines_and_runs_on_others_is_not_at_fault():
+    w = quiet(machines=4)
+    w.submit("n0", w.job(1, crew="blue", parts=40, guess_s=60.0))
+    wait(w, 8.0, fleet=False)
+    sick = sorted(w.workers)[:3]
+    for name in sick:
+        worker = w.workers[name]
+        worker.fails = True
+        worker.finish(worker.running()[0], "error")
+    wait(w, 4.0)
+    job = w.nodes["n0"].engine.jobs["req-000001"]
+    assert job.errors >= 3 and job.held_back == 0
+    for name in sick:
+        if name in w.workers and w.workers[name].running():
+            w.workers[name].finish(w.workers[name].running()[0], "error")
+    wait(w, 6.0)
+    assert set(sick) <= set(w.deleted), "twice is enough, as it runs elsewhere"
+
+
+def test_a_job_prefers_room_where_its_image_is_while_others_can_use_the_rest():
+    w = quiet(machines=4)  # 16 CPUs
+    engine = w.nodes["n0"].engine
+    w.submit("n0", w.job(1, crew="blue", parts=8, bundle="img-a", guess_s=10.0))
+    wait(w, 1.0, fleet=False)
+    assert len({p.machine for p in engine.jobs["req-000001"].open.values()}) == 2
+    w.submit("n0", w.job(2, crew="red", parts=8, bundle="img-b", guess_s=10.0))
+    wait(w, 3.0, fleet=False)
+    assert len(running(w)) == 16
+    # Room comes back where img-a is. The smaller job would go first, but would have to fetch its image there.
+    w.submit("n0", w.job(3, crew="blue", parts=4, bundle="img-b", guess_s=10.0))
+    w.submit("n0", w.job(4, crew="blue", parts=8, bundle="img-a", guess_s=10.0))
+    engine.images_at = -1e18
+    for part in [p for p in running(w) if p.startswith("req-000001/")]:
+        w.finish(part)
+    wait(w, 3.0, fleet=False)
+    assert len(engine.jobs["req-000004"].open) == 8 and not engine.jobs["req-000003"].open
+    for part in [p for p in running(w) if p.startswith("req-000002/")]:
+        w.finish(part)
+    wait(w, 3.0, fleet=False)
+    assert len(engine.jobs["req-000003"].open) == 4
+
+
+def test_the_picture_of_a_machines_images_forgets_those_used_longest_ago():
+    w = quiet(machines=1)
+    engine = w.nodes["n0"].engine
+    engine.types = [msgspec.structs.replace(kind, cache_gb=2.5) for kind in engine.types]
+    for number, image in enumerate(["img-a", "img-b", "img-a", "img-c"], 1):
+        w.submit("n0", w.job(number, parts=1, bundle=image, size_gb=1.0))
+        wait(w, 2.0, fleet=False)
+        w.finish(f"req-{number:06d}/0")
+        wait(w, 1.0, fleet=False)
+    machine = next(iter(engine.machines.values()))
+    assert [engine.images[i] for i in machine.images] == ["img-a", "img-c"]
+
+
 def test_a_refusal_for_lack_of_room_tries_elsewhere():
     w = quiet(machines=2)
     full = next(iter(w.workers.values()))
