Where the users have no aim for single jobs the longest tasks go first

Least work first suits classes with an aim for each job; this deployment has none for mirror jobs, only the end of all.

A story of the balancer found that a task moved away could come straight back: the room is kept for its job now.

--- a/bayford/coordination/rounds.py
+++ b/bayford/coordination/rounds.py
@@ -94,7 +94,8 @@
         """Jobs with waiting tasks in the order of service.
 
         Urgent work first; then what lies within its team's guarantee; then by priority; among equals the
-        job with the least work left, so that many finish soon, with waiting time as the other weight.
+        job with the least work left, so that many finish soon, with waiting time as the other weight, and
+        after those the ones of classes without an aim, the longest tasks first.
 
         That order alone could keep a large array of low priority waiting for as long as others come. So
         before all of them goes, for a small share of its tasks, each job of which nothing was started for
@@ -125,7 +126,11 @@
             if owed and age > self.policy.guarantee_wait_s:
                 out.append(((1.0, 0.0, 0.0, -age), job, owed))
             guaranteed = 0.0 if owed and self.policy.guarantee_first else 1.0
-            order = (2.0, guaranteed, -float(job.spec.priority), self._rank(job, run, age))
+            # Where the users have no aim for single jobs, the longest tasks go first: begun last, they would
+            # run on alone when all else is through.
+            aimless = job.spec.deadline_s is None and job.spec.job_class not in self.targets
+            rank = -run if aimless else self._rank(job, run, age)
+            order = (2.0, guaranteed, -float(job.spec.priority), float(aimless), rank)
             out.append((order, job, count))
         out.sort(key=lambda entry: entry[0])
         return out
@@ -352,6 +357,10 @@
             plan = self._plan(job, left, usable, hosts, now)
             if plan is None:
                 continue
+            # Else the task moved away may be first in the queue and come straight back.
+            source = self.machines[plan.source]
+            saving = max(source.open[m.key].job.spec.save_s for m in plan.moves)
+            source.kept_for, source.kept_until = job.spec.id, now + KEEP_S + saving
             for move in plan.moves:
                 place = self.machines[plan.source].open[move.key]
                 place.job.hints[place.task] = move.target
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -765,6 +765,22 @@
     assert len(south.running()) == 1 and south.running()[0].startswith("req-000001/")
 
 
+def test_where_there_is_no_aim_the_longest_tasks_go_first():
+    w = quiet(machines=1)
+    engine = w.nodes["n0"].engine
+    for number, guess in enumerate([5.0, 90.0, 30.0], 1):
+        w.submit("n0", w.job(number, parts=4, guess_s=guess))
+    wait(w, 2.0, fleet=False)
+    assert {p.split("/")[0] for p in running(w)} == {"req-000002"}
+    engine.targets = {"sweep": 60.0}
+    for part in running(w):
+        w.finish(part)
+    wait(w, 2.0, fleet=False)
+    assert {p.split("/")[0] for p in running(w)} == {"req-000001"}, (
+        "with an aim the least work left goes first"
+    )
+
+
 def test_room_that_is_given_back_in_a_moment_is_not_made_by_stops():
     w = quiet(machines=2)  # 8 CPUs
     w.submit("n0", w.job(1, parts=8, crew="blue", guess_s=4.0))  # two CPUs given back a second
