--- a/bayford/cli.py
+++ b/bayford/cli.py
@@ -91,7 +91,9 @@
         {peer.member: asker(peer.endpoint) for peer in settings.seeds},
         commander(),
     )
-    most = max(32, min(600, settings.facts.machine_limits.fd_limit // 2))
+    # Every worker, and users beside them, may come to one controller: a thread each, a tenth of a MB or so.
+    limits = settings.facts.machine_limits
+    most = max(32, min(limits.fd_limit * 3 // 4, int(limits.mem_mb * 5)))
     front = Server(*split_address(settings.front), Front(controller, Limit()).handle, most, "front")
     peers = Server(*split_address(settings.mesh_addr), Mesh(controller).handle, 32, "mesh")
     front.start()
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -30,6 +30,8 @@
 GATE_WAIT_S = 1.0
 COMMANDERS = 3
 ENDINGS = 3
+OWNER_WATCH_S = 0.1  # the owner learns of new jobs and cancellations by it
+WATCH_SHARE = 4.0  # in requests: all the watches together take a quarter of the limit at the most
 COMMIT_GAP_S = 0.05  # between two transactions, that the next one carries more
 SERVED_S = 3.0
 ISOLATED_S = 4.0  # longer than a member's lease
@@ -174,7 +176,13 @@
 
     def _watch_step(self) -> float:
         self.mirror.pull(8.0)
-        return 0.0
+        # Every change of the store ends every controller's watch, and a new one is a request under the limit
+        # that all share: unbounded, ten commits a second would be most of what it allows. Whoever needs to
+        # know more exactly reads.
+        state = self.settings.facts.state
+        if self.engine.owner:
+            return OWNER_WATCH_S
+        return max(0.05, WATCH_SHARE * self.settings.facts.nodes / state.rps)
 
     def _member_step(self) -> float:
         self.membership.step()
--- a/bayford/coordination/rounds.py
+++ b/bayford/coordination/rounds.py
@@ -93,9 +93,10 @@
     def _queue(self, now: float, turns: bool = True) -> list[tuple[tuple[float, ...], Job, int]]:
         """Jobs with waiting tasks in the order of service.
 
-        Urgent work first; then what lies within its team's guarantee; then by priority; among equals the
-        job with the least work left, so that many finish soon, with waiting time as the other weight, and
-        after those the ones of classes without an aim, the longest tasks first.
+        Urgent work first; then jobs that lie within their team's guarantee, then work of teams that use less
+        than theirs, then the rest; in each by priority; among equals the job with the least work left, so
+        that many finish soon, with waiting time as the other weight, and after those the ones of classes
+        without an aim, the longest tasks first.
 
         That order alone could keep a large array of low priority waiting for as long as others come. So
         before all of them goes, for a small share of its tasks, each job of which nothing was started for
@@ -103,6 +104,7 @@
         tasks at least every `turn_s` and the time until room is next given back.
         """
         out: list[tuple[tuple[float, ...], Job, int]] = []
+        entitled = self._entitled()
         for job in self.jobs.values():
             if not job.waiting or job.cancelled or job.not_before > now:
                 continue
@@ -125,7 +127,9 @@
             owed = min(count, share.owed(job.spec))
             if owed and age > self.policy.guarantee_wait_s:
                 out.append(((1.0, 0.0, 0.0, -age), job, owed))
-            guaranteed = 0.0 if owed and self.policy.guarantee_first else 1.0
+            guaranteed = 1.0
+            if self.policy.guarantee_first and owed:
+                guaranteed = 0.0 if job.spec.id in entitled else 0.5
             # Where the users have no aim for single jobs, the longest tasks go first: begun last, they would
             # run on alone when all else is through.
             aimless = job.spec.deadline_s is None and job.spec.job_class not in self.targets
@@ -135,6 +139,19 @@
         out.sort(key=lambda entry: entry[0])
         return out
 
+    def _entitled(self) -> set[str]:
+        """The jobs that need not wait for other teams: each fits into its team's guarantee together with the
+        team's earlier unfinished jobs. Others of a team that uses less than that are served after them."""
+        left = [(share.cpus, share.gpus) for share in self.shares]
+        out = set()
+        for job in sorted(self.jobs.values(), key=lambda j: j.created):
+            spec = job.spec
+            cpus, gpus = left[job.team]
+            left[job.team] = cpus - spec.cpus * spec.tasks, gpus - spec.gpus * spec.tasks
+            if not job.cancelled and min(left[job.team]) > -EPS:
+                out.add(spec.id)
+        return out
+
     def waiting(self, most: int = 5) -> list[str]:
         """For the log: the oldest waiting jobs and why they wait, and how the whole stands."""
         with self.lock:
@@ -153,7 +170,9 @@
             reporting = sum(m.reported for m in self.machines.values())
             lines.append(
                 f"{len(queue)} jobs wait, {running} tasks placed on {len(self.machines)} machines "
-                f"({reporting} reporting); refusals {self.refusals}, moves {self.moves}, starts {self.starts}"
+                f"({reporting} reporting); refusals {self.refusals}, "
+                f"balancer asked {self.balance_asked}, tried {self.balance_tried}, moves {self.moves}, "
+                f"starts {self.starts}"
             )
             return lines
 
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -15,7 +15,7 @@
     turn_share: float = 0.02
     # preemption
     preempt_per_round: int = 16
-    preempt_wait_s: float = 1.0
+    preempt_wait_s: float = 0.4
     guarantee_wait_s: float = 300.0
     fetch_weight: float = 8.0
     # renting and returning
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -13,7 +13,7 @@
 
 # --- preemption
 # preempt_per_round = 16     # tasks stopped for waiting work in one round
-# preempt_wait_s = 1.0       # room that tasks ending by themselves give back within this is not made by stops
+# preempt_wait_s = 0.4       # room that tasks ending by themselves give back within this is not made by stops
 # guarantee_wait_s = 300.0  # how long work within a guarantee waits before it pushes out borrowed work
 # fetch_weight = 8.0         # how much a fetch counts against a machine when victims are chosen
 
