--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -6,6 +6,7 @@
 
 from bayford.coordination.engine import Engine
 from bayford.storage import records
+from bayford.storage.store import Unavailable
 
 
 def quiet(machines: int = 2, nodes: int = 1, **world_fields) -> World:
@@ -693,6 +694,11 @@
     w.state.release()
     w.cut.clear()
     w.deletes_lost = False
+    for _ in range(10):
+        w.step(1.0)
+    for name in w.nodes:
+        for job_id in sorted(w.accepted):
+            assert w.query(name, job_id) is not None, f"{job_id} is not answered 10 s after all troubles"
     for _ in range(250):
         w.step(1.0)
         for name in list(w.nodes):
@@ -891,6 +897,27 @@
     assert sum(1.0 / pause for pause in pauses) <= 0.35 * rps, "even if each change ends each watch"
 
 
+def test_a_question_waits_for_no_write_and_no_other_job(monkeypatch):
+    """Whatever the group commit has to do, or can't do, a question needs one shared read alone."""
+    w = quiet(machines=2)
+    node = w.nodes["n0"]
+    for number in range(1, 6):
+        w.submit("n0", w.job(number, parts=300))
+
+    def refused(conditions, puts):
+        raise Unavailable("429", refused=True)
+
+    monkeypatch.setattr(node.store, "commit", refused)
+    node.writes.drain()
+    for _ in range(4):
+        w.clock.now += 0.5
+        w.step_node("n0")
+    assert node.engine.has_news()
+    for number in range(1, 6):
+        assert w.query("n0", f"req-{number:06d}") is not None
+    assert node.submit(w.job(9))[0] == 503, "answered at once, with when to come back"
+
+
 def test_calls_to_the_cloud_keep_within_their_rate():
     w = quiet(machines=0)
     node = w.nodes["n0"]
