--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -99,10 +99,10 @@
         self.term = -1
         self.token = 0
         self.jobs: dict[str, Job] = {}
-        # Tasks whose state here is newer than the ledger's, the ones in a transaction without an answer
-        # yet, and the jobs that are over and have still to be closed there.
+        # Tasks whose state here is newer than the ledger's, the transaction without an answer yet, and the
+        # jobs that are over and have still to be closed there.
         self.dirty: dict[str, set[int]] = {}
-        self.flying: dict[str, set[int]] = {}
+        self.flying: Batch | None = None
         self.ending: dict[str, None] = {}
         self.next_attempt = 1
         self.machines: dict[int, Machine] = {}
@@ -289,7 +289,8 @@
 
     def unsettled(self, job_id: str, task: int) -> bool:
         """Whether the last change of the task is not durable yet."""
-        return task in self.dirty.get(job_id, ()) or task in self.flying.get(job_id, ())
+        flying = {} if self.flying is None else self.flying.tasks
+        return task in self.dirty.get(job_id, ()) or task in flying.get(job_id, ())
 
     def take_batch(self, ops: int) -> Batch | None:
         """The next transaction: rows of the ledger with what has changed, urgent work first, and the records
@@ -300,10 +301,10 @@
         the records, so that nobody's cancellation is overwritten.
         """
         with self.lock:
-            if not self.owner or not self.complete or not (self.dirty or self.ending) or self.flying:
+            if not self.owner or not self.complete or not self.has_news() or self.flying is not None:
                 return None
-            batch: Batch = self.with_ledger(lambda ledger: self._fill(ledger, ops))
-            return batch
+            self.flying = self.with_ledger(lambda ledger: self._fill(ledger, ops))
+            return self.flying
 
     def _fill(self, ledger: Ledger, ops: int) -> Batch:
         batch = Batch(self.term, {records.MAP: self.term})
@@ -349,14 +350,12 @@
             batch.conditions[slot] = stamp
             batch.puts.append(Put(slot, maker.finish()))
         for name, tasks in batch.tasks.items():
-            self.flying[name] = tasks
             left = self.dirty[name] - tasks
             if left:
                 self.dirty[name] = left
             else:
                 del self.dirty[name]
         for name in batch.over:
-            self.flying.setdefault(name, set())
             del self.ending[name]
         return batch
 
@@ -366,7 +365,7 @@
             if not self.owner or batch.term != self.term:
                 return  # it is of an earlier term, and says nothing of the jobs of now
             self.verified_at = max(self.verified_at, began)
-            self.flying.clear()
+            self.flying = None
             wake = set()
             for place in batch.placements:
                 if place.job.open.get(place.task) is place:
@@ -387,10 +386,10 @@
         with self.lock:
             if batch.term != self.term:
                 return
-            for name, tasks in self.flying.items():
-                if name in self.jobs and tasks:
+            self.flying = None
+            for name, tasks in batch.tasks.items():
+                if name in self.jobs:
                     self.dirty.setdefault(name, set()).update(tasks)
-            self.flying.clear()
             for name in batch.over:
                 if name in self.jobs:
                     self.ending[name] = None
@@ -441,7 +440,7 @@
             job.stamp = stamp
             if record.finished:
                 # Our own write, whose answer was lost: the rows beside it closed the job as well.
-                for held in (self.jobs, self.dirty, self.flying, self.ending):
+                for held in (self.jobs, self.dirty, self.ending):
                     held.pop(spec.id, None)
             elif record.cancelled and not job.cancelled:
                 self._cancel(job, record.cancelled)
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -525,8 +525,7 @@
                 break
         if self.membership.view.stamp != view.stamp or engine.term != view.stamp or self.membership.behind:
             return 503, jobs.error("no longer the owner")
-        if engine.newest(index, report):
-            engine.answered(index, orders)
+        engine.answered(index, report, orders)
         return 200, workers.answer(view.token, orders)
 
     def _report_sheltered(self, report: workers.Report) -> Answer:
--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -129,7 +129,8 @@
         return needs
 
     def _rentals(self, step: FleetStep, now: float, needs: list[fleet.Need]) -> None:
-        if self.listed_at < self.owner_since + self.settings.facts.cloud.list_lag_s * bool(self.inherited):
+        lag = self.settings.facts.cloud.list_lag_s if self.inherited else 0.0
+        if self.listed_at < self.owner_since + lag:
             # What the owner before us rented a moment ago is in no list yet: renting now would rent it twice.
             return
         spare: dict[fleet.Option, int] = dict(self.renting)
@@ -267,8 +268,7 @@
                     continue
                 for place in list(machine.open.values()):
                     self._close(machine, place, now)
-                    if not place.job.cancelled:
-                        place.job.requeue(place.task)
+                    place.job.requeue(place.task)
                 self.seen.pop(machine.index, None)
                 self.roomy.pop(machine.index, None)
                 self.noticed.pop(machine.index, None)
--- a/bayford/coordination/reports.py
+++ b/bayford/coordination/reports.py
@@ -38,8 +38,9 @@
             self.last_report = now
             if report.session > machine.session:
                 self._new_session(machine, report.session, now)
+            seen = {(state.part, state.attempt): state.phase for state in report.tasks}
             if not asked and not relay:
-                self._heeds(machine, report)
+                self._heeds(machine, seen)
             if report.token >= self.token:
                 # Whoever says our token was answered in this term. A late copy, or a machine that we do
                 # not reach, never does, and gets no work.
@@ -56,11 +57,8 @@
                     log.info("machine %s: taken by the cloud in %.0f s", machine.name, report.notice_s)
                 machine.notice = now + report.notice_s
                 self.noticed[machine.index] = machine
-            seen: dict[Key, str] = {}
             for state in report.tasks:
-                key = (state.part, state.attempt)
-                seen[key] = state.phase
-                place = machine.open.get(key)
+                place = machine.open.get((state.part, state.attempt))
                 if place is not None:
                     self._on_task(machine, place, state, now)
             self.seen[machine.index] = seen
@@ -94,18 +92,16 @@
         self.seen[machine.index] = {}
         for place in lost:
             self._close(machine, place, now)
-            if not place.job.cancelled:
-                place.job.requeue(place.task)
+            place.job.requeue(place.task)
 
-    def _heeds(self, machine: Machine, report: workers.Report) -> None:
+    def _heeds(self, machine: Machine, seen: dict[Key, str]) -> None:
         """Whether anything of the last answer shows. A worker has one report in flight, so this one was
         sent after that answer came, or never will."""
         if not machine.ordered:
             return
-        phases = {(t.part, t.attempt): t.phase for t in report.tasks}
         heeded = False
         for part, attempt, verb in machine.ordered:
-            phase = phases.get((part, attempt))
+            phase = seen.get((part, attempt))
             if verb == workers.START:
                 heeded = heeded or phase is not None
             elif verb == workers.REAP:
@@ -225,20 +221,14 @@
             if place.job.cancelled and absent and after >= place.job.cancel_known:
                 self._close(machine, place, now)
 
-    def answered(self, index: int, orders: list[workers.Order]) -> None:
-        """The machine's newest report is being answered with these."""
+    def answered(self, index: int, report: workers.Report, orders: list[workers.Order]) -> None:
+        """A report is answered with these. An answer to a late copy reaches nobody and doesn't count."""
         with self.lock:
             machine = self.machines.get(index)
-            if machine is not None:
+            if machine is not None and (machine.session, machine.tick) == (report.session, report.tick):
                 machine.answered = self.clock()
                 machine.ordered = [(o.part, o.attempt, o.verb) for o in orders]
 
-    def newest(self, index: int, report: workers.Report) -> bool:
-        """Whether this is the machine's last report, and not a late copy of it."""
-        with self.lock:
-            machine = self.machines.get(index)
-            return machine is not None and (machine.session, machine.tick) == (report.session, report.tick)
-
     def orders_for(self, index: int, arrival: float) -> tuple[list[workers.Order], bool]:
         """What to answer the machine's report that came at `arrival`, and whether starts await the gate.
 
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -147,8 +147,8 @@
         return len(self.done) == self.spec.tasks
 
     def requeue(self, task: int) -> None:
-        """Put a task that was on a machine back in front of the queue."""
-        if task not in self.done:
+        """Put a task that was on a machine back in front of the queue, unless nobody wants it any more."""
+        if task not in self.done and not self.cancelled:
             self.waiting.append(task)
 
 
--- a/bayford/scheduling/quota.py
+++ b/bayford/scheduling/quota.py
@@ -59,10 +59,6 @@
             most = min(most, (gpus - self.used_gpus + EPS) / spec.gpus)
         return max(0, int(most))
 
-    def within_guarantee(self, spec: JobSpec) -> bool:
-        """Whether one more task still lies within what the team is guaranteed."""
-        return self.used_cpus + spec.cpus <= self.cpus + EPS and self.used_gpus + spec.gpus <= self.gpus + EPS
-
     @property
     def beyond(self) -> bool:
         """Whether the team borrows: it uses more than its guarantee."""
--- a/bayford/storage/ledger.py
+++ b/bayford/storage/ledger.py
@@ -21,7 +21,6 @@
 from typing import Any
 
 import msgspec
-import orjson
 
 from bayford.storage.records import LOG, Unreadable
 
@@ -269,8 +268,7 @@
 
     def opened(self, job: str, task: int, attempt: int, machine: str, session: int) -> None:
         """The task is on a machine."""
-        self._list(self.value.o, job).extend((task, attempt, self._index(machine, session)))
-        self.left -= len(str(task)) + len(str(attempt)) + 7
+        self._place(self._list(self.value.o, job), task, (attempt, machine, session))
 
     def done(self, job: str, task: int) -> None:
         """The task is done."""
@@ -287,6 +285,11 @@
         self.value.x.append(job)
         self.left -= len(job) + 3
 
+    def _place(self, flat: list[int], task: int, place: Place) -> None:
+        attempt, machine, session = place
+        flat += (task, attempt, self._index(machine, session))
+        self.left -= len(str(task)) + len(str(attempt)) + 7
+
     def _list(self, into: dict[str, list[int]], job: str) -> list[int]:
         found = into.get(job)
         if found is None:
@@ -307,13 +310,11 @@
             need += sum(OPEN_BYTES + len(place[1]) for _, place in placed)
             if need > self.left:
                 return
-            before = self.left
             flat: list[int] = []
-            for task, (attempt, machine, session) in placed:
-                flat += (task, attempt, self._index(machine, session))
+            for task, place in placed:
+                self._place(flat, task, place)
             self.value.s.append((job, number, done, flat))
-            self.left = before - len(orjson.dumps(flat)) - 6 * len(done) - len(job) - 24
-            self.left -= sum(len(place[1]) + 8 for _, place in placed)
+            self.left -= 6 * len(done) + len(job) + 24
 
     def finish(self) -> dict[str, Any]:
         """The value to write, empty fields left out."""
--- a/bayford/storage/mirror.py
+++ b/bayford/storage/mirror.py
@@ -36,8 +36,7 @@
         self._torn = True
         self._store = store
         self._lock = threading.Lock()
-        self._rows: dict[str, Row] = {}
-        self._families: dict[str, dict[str, Row]] = {}  # the same rows by the first two words of their keys
+        self._families: dict[str, dict[str, Row]] = {}  # rows by the first two words of their keys
         self._gone: dict[str, int] = {}
         self._records: dict[str, tuple[int, records.Record]] = {}  # decoded, by key
         self.revision = -1  # -1: never loaded
@@ -56,16 +55,15 @@
         with self._lock:
             told: list[Row] = []
             for row in rows:
-                old = self._rows.get(row.key)
+                family = self._families.setdefault(_family(row.key), {})
+                old = family.get(row.key)
                 if (old is not None and old.stamp >= row.stamp) or self._gone.get(row.key, -1) >= row.stamp:
                     continue
-                family = self._families.setdefault(_family(row.key), {})
                 if row.value is None:
-                    self._rows.pop(row.key, None)
                     family.pop(row.key, None)
                     self._gone[row.key] = row.stamp
                 else:
-                    self._rows[row.key] = family[row.key] = row
+                    family[row.key] = row
                 if row.key.startswith(LOG):
                     told.append(row)
                 else:
@@ -106,7 +104,10 @@
         with self._lock:
             self._torn = True
             missing = [
-                Row(k, None, revision) for k, r in self._rows.items() if k not in keys and r.stamp <= revision
+                Row(row.key, None, revision)
+                for family in self._families.values()
+                for row in family.values()
+                if row.key not in keys and row.stamp <= revision
             ]
         self.apply([*rows, *missing], revision)
         rows, revision = self._store.changes(records.PREFIX, revision, 0.0)
@@ -192,7 +193,10 @@
     def get(self, key: str) -> Row | None:
         """One row as mirrored."""
         with self._lock:
-            return self._rows.get(key)
+            return self._row(key)
+
+    def _row(self, key: str) -> Row | None:
+        return self._families.get(_family(key), {}).get(key)
 
     def below(self, family: str) -> list[Row]:
         """The rows of one family (`records.MEMBERS` and the like), in key order."""
@@ -201,7 +205,7 @@
 
     def knows(self, job_id: str) -> bool:
         """Whether there is a record of the job, as far as is known here."""
-        return records.key(job_id) in self._rows
+        return self.get(records.key(job_id)) is not None
 
     def state(self, job_id: str) -> records.State | None:
         """A job's record and where its tasks stand, or None if there is none.
@@ -209,7 +213,7 @@
         Unavailable while the rows are being read again, or if they can't be read.
         """
         with self._lock:
-            row = self._rows.get(records.key(job_id))
+            row = self._row(records.key(job_id))
             if row is None:
                 if self._torn:
                     raise Unavailable("the records are being read")
@@ -243,7 +247,7 @@
                 raise Unavailable("the records are being read")
             out = []
             for (job, task), (attempt, session) in self.ledger.at.get(machine, {}).items():
-                row = self._rows.get(records.key(job))
+                row = self._row(records.key(job))
                 if row is not None:
                     out.append((job, task, attempt, session, self._record(row).cancelled > 0))
             return out
