--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -4,6 +4,7 @@
 import pytest
 from world import World
 
+from bayford.coordination.controller import Controller
 from bayford.coordination.engine import Engine
 from bayford.storage import records
 from bayford.storage.store import Unavailable
@@ -28,14 +29,20 @@
     return {k: v for k, v in w.state.rows.items() if k.startswith(records.LOG)}
 
 
+def decided(w: World, owner: str = "n0", **fields) -> Controller:
+    """The owner, which has decided where the tasks of a first job go and written nothing of it yet."""
+    w.submit(owner, w.job(1, **fields))
+    node = w.nodes[owner]
+    node.mirror.pull(0.0)
+    node.engine.round()
+    return node
+
+
 def deposed_with_work() -> tuple[World, str, str]:
     """A world, its old owner that has decided something but not written it, and the new owner."""
     w = quiet(nodes=2)
     old_name = w.owner()
-    old = w.nodes[old_name]
-    w.submit(old_name, w.job(1, parts=4))
-    old.mirror.pull(0.0)
-    old.engine.round()
+    decided(w, old_name, parts=4)
     other = next(n for n in w.nodes if n != old_name)
     assert w.nodes[other].membership.claim(other)
     return w, old_name, other
@@ -98,10 +105,7 @@
 
 def test_a_placement_starts_only_after_it_is_committed():
     w = quiet()
-    w.submit("n0", w.job(1))
-    node = w.nodes["n0"]
-    node.mirror.pull(0.0)
-    node.engine.round()
+    decided(w)
     w.state.refuses.add("n0")
     for worker in w.workers.values():
         w.report(worker)
@@ -113,10 +117,7 @@
 
 def test_a_lost_answer_to_a_committed_transaction_loses_and_doubles_nothing():
     w = quiet()
-    w.submit("n0", w.job(1))
-    node = w.nodes["n0"]
-    node.mirror.pull(0.0)
-    node.engine.round()
+    node = decided(w)
     w.state.lose_answer.add("n0")
     assert not w.try_(node.commit_once) or node.engine.has_news()
     for _ in range(3):
@@ -131,10 +132,7 @@
 
 def test_a_transaction_executed_late_does_not_overwrite_what_came_after_it():
     w = quiet()
-    w.submit("n0", w.job(1))
-    node = w.nodes["n0"]
-    node.mirror.pull(0.0)
-    node.engine.round()
+    node = decided(w)
     w.state.hold.add("n0")
     w.try_(node.commit_once)
     assert w.state.held
@@ -269,10 +267,7 @@
     """A report that a cut held back may lack a task that has started since; it proves nothing."""
     w = quiet(machines=1)
     worker = next(iter(w.workers.values()))
-    node = w.nodes["n0"]
-    w.submit("n0", w.job(1, parts=1))
-    node.mirror.pull(0.0)
-    node.engine.round()
+    node = decided(w, parts=1)
     node.commit_once()
     w.cancel("n0", "req-000001")
     node.mirror.pull(0.0)
@@ -988,10 +983,7 @@
 def test_an_answer_to_a_write_of_an_earlier_term_says_nothing_of_this_one():
     """The same process loses the map and wins it again while a transaction is on its way."""
     w = quiet(nodes=1)
-    node = w.nodes["n0"]
-    w.submit("n0", w.job(1, parts=4))
-    node.mirror.pull(0.0)
-    node.engine.round()
+    node = decided(w, parts=4)
     batch = node.engine.take_batch(12)
     assert batch is not None
     assert node.membership.claim("n0")
@@ -1180,10 +1172,7 @@
     owner = w.owner()
     worker = next(iter(w.workers.values()))
     empty = worker.report()
-    w.submit(owner, w.job(1, parts=1))
-    w.nodes[owner].mirror.pull(0.0)
-    w.nodes[owner].engine.round()
-    w.nodes[owner].commit_once()  # committed; the start is still to go out
+    decided(w, owner, parts=1).commit_once()  # committed; the start is still to go out
     w.cancel(owner, "req-000001")
     w.boot(owner)  # and the next owner has not heard the machine yet
     for _ in range(10):
