--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -14,6 +14,8 @@
 from bayford.coordination.budget import Budget
 from bayford.coordination.engine import Engine
 from bayford.coordination.membership import Membership
+from bayford.coordination.pulse import BEAT_S, Pulse
+from bayford.coordination.renting import FleetStep
 from bayford.protocol import jobs, mesh, workers
 from bayford.protocol.cloud_api import Cloud, CloudBusy, NoCapacity
 from bayford.scheduling.model import JobSpec
@@ -89,7 +91,8 @@
         self._rental_number = 0
         self._summary_keys = 0
         self._unreachable: set[str] = set()
-        self._born = clock()
+        self.pulse = Pulse(clock)
+        self._born = self._listening = clock()  # since when workers' reports have been taken without a break
         self._peer_heard = -1e18
         self._peer_served = -1e18  # when a peer last said that the state service serves it
         engine.with_ledger = self.mirror.with_ledger
@@ -140,6 +143,7 @@
     def start(self) -> None:
         """Start all threads; they run until the process ends."""
         loops: list[tuple[str, Callable[[], float]]] = [
+            ("pulse", self._pulse_step),
             ("watch", self._watch_step),
             ("member", self._member_step),
             ("commit", self._commit_step),
@@ -174,6 +178,37 @@
             if pause > 0:
                 time.sleep(pause)
 
+    def _pulse_step(self) -> float:
+        self.pulse.woke()
+        return BEAT_S
+
+    def _sure(self) -> bool:
+        """Whether we may act as the owner on the view we have.
+
+        It must have been verified not too long ago, and since this process last stood still: a controller
+        that goes on after a minute finds all its machines silent for a minute, and it is another's to say
+        what that means. It once deleted the whole fleet.
+        """
+        verified = max(self.engine.verified_at, self.engine.owner_since)
+        return (
+            self.engine.owner
+            and not self.membership.behind
+            and verified >= self.pulse.woke()
+            and self.clock() - verified <= self.engine.unverified_limit()
+        )
+
+    def _sure_soon(self) -> bool:
+        """The same, awaiting the verification that a standstill calls for, which takes a moment."""
+        until = self.clock() + GATE_WAIT_S
+        while not self._sure():
+            late = self.clock() - max(self.engine.verified_at, self.engine.owner_since)
+            if late > self.engine.unverified_limit() or self.membership.behind or self.clock() >= until:
+                return False
+            self._verify.set()
+            self._commit.set()
+            self._pause(threading.Event(), 0.05)
+        return True
+
     def _watch_step(self) -> float:
         self.mirror.pull(8.0)
         # Every change of the store ends every controller's watch, and a new one is a request under the limit
@@ -252,6 +287,7 @@
         return max(COMMIT_GAP_S, self.writes.wait_s(1.0))
 
     def _write(self, batch: Batch) -> None:
+        self.pulse.woke()
         began = self.clock()
         try:
             outcome = self.store.commit(batch.conditions, batch.puts)
@@ -281,8 +317,10 @@
 
     def _verify_step(self, term: int) -> None:
         """Compare the map alone: the gate of starts, and the proof that we are still owner."""
+        woke = self.pulse.woke()  # noted before `began`, or this verification would not count after it
         began = self.clock()
-        if not self._verify.is_set() and began - self.engine.verified_at < 2.0:
+        verified = self.engine.verified_at
+        if not self._verify.is_set() and began - verified < 2.0 and verified >= woke:
             return
         self._verify.clear()
         outcome = self.store.commit({records.MAP: term}, [])
@@ -314,9 +352,20 @@
             self._pause(threading.Event(), 0.1)
         self.calls.take(1.0)
 
+    def fleet_once(self) -> FleetStep:
+        """What to rent and to delete now; nothing while we can't be sure to be the owner.
+
+        While we are not, reports are turned away, so that nobody's silence means anything: it counts from
+        when we listen again. Else the end of a long outage would be the end of the fleet.
+        """
+        if not self._sure():
+            self._listening = self.clock()
+            return FleetStep()
+        return self.engine.fleet_step(max(self._listening, self.pulse.woke()))
+
     def _fleet_step(self) -> float:
         if self.engine.owner:
-            step = self.engine.fleet_step()
+            step = self.fleet_once()
             for rental in step.rentals:
                 self._rentals.put(rental)
             for name, _ in step.deletions:
@@ -344,6 +393,9 @@
         names: list[str] = []
         for attempt in range(4):
             self._pace()
+            if not self._sure():
+                self.engine.not_rented(kind, zone, spot, count)
+                return
             try:
                 names = self.cloud.rent(request, kind, zone, spot, asked)
                 break
@@ -368,6 +420,9 @@
     def delete(self, names: list[str]) -> bool:
         """Delete machines; only the cloud's 200 proves that their tasks are gone."""
         self._pace()
+        if not self._sure():  # decided before a standstill perhaps, and another's machines by now
+            self.engine.not_deleted(names)
+            return False
         try:
             self.cloud.delete(names)
         except CloudBusy as bad:
@@ -386,7 +441,7 @@
             return 0.0
         address, session, halts = found
         view = self.membership.view
-        if view.stamp != self.engine.term:
+        if view.stamp != self.engine.term or not self._sure():
             return 0.0  # not ours any more: that token is another's
         body = self._command(address, workers.commands(view.token, session, halts))
         if body is not None:
@@ -399,7 +454,7 @@
     def summary_step(self) -> float:
         """Write the summary; not conditional on the map, since it decides nothing."""
         picture = self.engine.summary()
-        if picture:
+        if picture and self._sure():
             bytes_ = self.engine.value_bytes
             puts = summary.encode(self.name, self.wall(), picture, bytes_, self._summary_keys)
             self._summary_keys = sum(put.value is not None for put in puts)
@@ -489,16 +544,14 @@
     def _report_owned(self, report: workers.Report, arrival: float, after: float) -> Answer:
         engine = self.engine
         view = self.membership.view
-        if self.membership.behind or arrival - max(engine.verified_at, engine.owner_since) > (
-            engine.unverified_limit()
-        ):
-            return 503, jobs.error("not sure to be the owner still")
         for _ in range(20):
             if engine.complete and engine.term == view.stamp:
                 break
             self._pause(threading.Event(), 0.1)
         if not engine.complete or engine.term != view.stamp:
             return 503, jobs.error("reading the records")
+        if not self._sure_soon():
+            return 503, jobs.error("not sure to be the owner still")
         index = engine.on_report(report, after)
         if index is None:
             return 200, workers.answer(view.token, [])
@@ -523,7 +576,7 @@
                 self._pause(event, hold - waited)
             else:
                 break
-        if self.membership.view.stamp != view.stamp or engine.term != view.stamp or self.membership.behind:
+        if self.membership.view.stamp != view.stamp or engine.term != view.stamp or not self._sure():
             return 503, jobs.error("no longer the owner")
         engine.answered(index, report, orders)
         return 200, workers.answer(view.token, orders)
--- /dev/null
+++ b/bayford/coordination/pulse.py
@@ -0,0 +1,34 @@
+"""Whether this process has stood still.
+
+A process can be stopped for seconds, or minutes, while its clocks run on: every timer is due when it goes
+on, each thread wakes alone, and all that any of them knows is as old as the standstill. No other sign tells
+it from a minute in which nothing came in. So every thread that is about to act asks here first.
+"""
+
+import threading
+from collections.abc import Callable
+
+STILL_S = 1.0  # a longer gap between two beats; to be wrong about it costs one comparison of the map
+BEAT_S = 0.25
+
+
+class Pulse:
+    """When this process last went on after a standstill."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._beat = clock()
+        self._woke = self._beat
+
+    def woke(self) -> float:
+        """What was known before this moment may be old by any length of time.
+
+        A thread of its own calls this every `BEAT_S`. Whoever calls first after a gap finds it.
+        """
+        with self._lock:
+            now = self._clock()
+            if now - self._beat > STILL_S:
+                self._woke = now
+            self._beat = now
+            return self._woke
--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -59,15 +59,16 @@
                 if machine.listed and machine.name not in names:
                     machine.missing += 1
 
-    def fleet_step(self) -> FleetStep:
-        """What to rent and what to delete now."""
+    def fleet_step(self, listening: float) -> FleetStep:
+        """What to rent and what to delete now. Nobody counts as silent before `listening`: until then we
+        stood still, or turned reports away."""
         step = FleetStep()
         with self.lock:
             if not self.owner or not self.complete or not self.types:
                 return step
             now = self.clock()
             waiting = self._needs(now)
-            self._deletions(step, now, waiting)
+            self._deletions(step, now, waiting, listening)
             self._rentals(step, now, waiting)
         return step
 
@@ -77,6 +78,11 @@
         cpus = sum(m.cpus for m in self.machines.values() if not (m.deleting or m.quarantined))
         cpus += sum(self.types[o.type].cpus * n for o, n in self.renting.items())
         cheap = sum(m.cpus for m in self.machines.values() if m.spot and not (m.deleting or m.quarantined))
+        present: dict[fleet.Option, float] = {o: self.types[o.type].cpus * n for o, n in self.renting.items()}
+        for m in self.machines.values():
+            if m.type is not None and m.zone is not None and not (m.deleting or m.quarantined):
+                option = fleet.Option(m.type, m.zone, m.spot)
+                present[option] = present.get(option, 0.0) + m.cpus
         keep_dear = False
         ahead = sum(0.5 * self.expected(j) * j.spec.cpus * len(j.open) for j in self.jobs.values())
         for _, job, count in self._queue(now, turns=False):
@@ -98,6 +104,7 @@
                     options.add(fleet.Option(index, zone, False))
                     if job.spec.spot:
                         options.add(fleet.Option(index, zone, True))
+            job.cheap_hosts = any(o.spot and o in present for o in options)
             run = self.expected(job)
             ahead += count * job.spec.cpus * run
             dear = 0
@@ -123,6 +130,7 @@
                     run,
                     job.spec.priority >= URGENT,
                     dear,
+                    sum(present.get(o, 0.0) for o in options),
                 )  # fmt: skip
             )
         self.dear_serves = keep_dear or not cheap
@@ -159,7 +167,7 @@
             cpus - held,
         ):
             option = rental.option
-            self.renting[option] = self.renting.get(option, 0) + rental.count
+            self._asked_for(option, rental.count)
             kind, zone = self.types_by[option.type], self.zones[option.zone]
             log.info(
                 "renting %d %s in %s%s: %s (backlog %.0f s)", rental.count, kind, zone,
@@ -171,10 +179,7 @@
         """A rental request was answered (`names` may be fewer than asked) or refused (none)."""
         with self.lock:
             option = fleet.Option(self.types_by.index(kind), self.zones.index(zone), spot)
-            left = self.renting.get(option, 0) - asked
-            self.renting[option] = max(0, left)
-            if not self.renting[option]:
-                self.renting.pop(option, None)
+            self._asked_for(option, -asked)
             now = self.clock()
             if len(names) < asked:
                 self.refused[option] = now + self.policy.refused_s
@@ -190,12 +195,22 @@
                 machine.spot = spot
                 self._size(machine, kind)
 
-    def _deletions(self, step: FleetStep, now: float, needs: list[fleet.Need]) -> None:
+    def not_rented(self, kind: str, zone: str, spot: bool, asked: int) -> None:
+        """The request was not sent after all; the cloud has refused nothing."""
+        with self.lock:
+            self._asked_for(fleet.Option(self.types_by.index(kind), self.zones.index(zone), spot), -asked)
+
+    def _asked_for(self, option: fleet.Option, count: int) -> None:
+        self.renting[option] = max(0, self.renting.get(option, 0) + count)
+        if not self.renting[option]:
+            del self.renting[option]
+
+    def _deletions(self, step: FleetStep, now: float, needs: list[fleet.Need], listening: float) -> None:
         facts = self.settings.facts.workers
         # If nobody at all reports, or many machines fall silent together, the fault lies with this controller
         # or the network: wait longer. A wave of spot machines taken shows in the cloud's list.
         known = [m for m in self.machines.values() if m.reported and not m.deleting]
-        quiet_now = sum(now - m.heard > 2.5 * facts.report_s for m in known)
+        quiet_now = sum(now - max(m.heard, listening) > 2.5 * facts.report_s for m in known)
         deaf = (
             now - self.last_report > 3.0
             or now - self.owner_since < facts.lease_s
@@ -213,7 +228,7 @@
         for machine in self.machines.values():
             if machine.deleting:
                 continue
-            quiet = now - machine.heard
+            quiet = now - max(machine.heard, listening)
             why = ""
             if machine.index in urgent_cancel:
                 why = "a cancelled task there is not confirmed stopped"
--- a/bayford/coordination/rounds.py
+++ b/bayford/coordination/rounds.py
@@ -190,7 +190,7 @@
             return
         counts = placement.zones_open(job, self._zone) if zoned else {}
         machines = placement.candidates(job, roomy, counts, now)
-        if not self.dear_serves and job.spec.priority < URGENT and job.spec.spot:
+        if not self.dear_serves and job.spec.priority < URGENT and job.spec.spot and job.cheap_hosts:
             # The cheap machines alone are in time: let the dear ones run empty and go back.
             machines = [m for m in machines if m.spot]
         if job.spec.shape == GANG:
--- a/bayford/scheduling/fleet.py
+++ b/bayford/scheduling/fleet.py
@@ -29,6 +29,7 @@
     run_s: float  # expected seconds of one task
     urgent: bool
     dear: int  # how many of the tasks are worth dear machines, for else the aim is missed
+    hosts: float  # CPUs of the present fleet, what is coming included, that may serve it
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +69,9 @@
     present fleet needs for its backlog: work that the fleet clears within `patience_s` waits for it, and
     dearer ordinary machines are taken only when the backlog exceeds `ordinary_after_s` or for urgent work
     that neither the `yielding_cpus` (held by work that it may push out, or on their way) can serve.
+
+    A fleet that may not serve a job is no reason for it to wait: work that no machine of the present fleet
+    may take needs one of its own, an ordinary one where no cheap one may serve it or is to be had.
     """
     coming = dict(spare)
     ask: dict[Option, tuple[int, str]] = {}
@@ -82,9 +86,12 @@
                 left -= use * per
                 if left <= 0:
                     break
-        if left <= 0 or (not need.urgent and busy_s < patience_s):
+        own_s = need.tasks * need.cpus * need.run_s / need.hosts if need.hosts else float("inf")
+        if left <= 0 or (not need.urgent and max(busy_s, own_s) < patience_s):
             continue
-        dear = left if busy_s >= ordinary_after_s else min(left, need.dear)
+        cheap = any(o.spot for o in need.options)
+        stranded = not need.hosts and not any(o.spot for o in need.options - refused)
+        dear = left if busy_s >= ordinary_after_s or not cheap or stranded else min(left, need.dear)
         if need.urgent:
             yielded = min(left * need.cpus, yielding_cpus)
             yielding_cpus -= yielded
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -139,6 +139,7 @@
     held_back: int = 0  # how often it was held back because it failed everywhere
     failed_on: set[int] = field(default_factory=set)
     hints: dict[int, int] = field(default_factory=dict)  # task -> machine that the balancer chose for it
+    cheap_hosts: bool = True  # whether the fleet has cheap machines that it may run on
     why_waiting: str = ""
 
     @property
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -6,6 +6,7 @@
 
 from bayford.coordination.controller import Controller
 from bayford.coordination.engine import Engine
+from bayford.protocol.cloud_api import NoCapacity
 from bayford.storage import records
 from bayford.storage.store import Unavailable
 
@@ -273,7 +274,7 @@
     node.mirror.pull(0.0)
     node.engine.on_report(worker.report(), after=w.clock.now - 5.0)
     assert node.engine.shares[0].used_cpus == 1.0
-    w.clock.now += 1.0
+    w.pass_time(1.0)
     node.engine.on_report(worker.report(), after=w.clock.now)
     assert node.engine.shares[0].used_cpus == 0.0
 
@@ -393,7 +394,7 @@
     began = w.clock.now
     statuses = []
     while w.clock.now - began < 40.0:
-        w.clock.now += 1.0
+        w.pass_time(1.0)
         statuses.append((w.clock.now - began, w.report(worker)))
     answered = [t for t, s in statuses if s == 200]
     assert answered and max(answered) > 15.0
@@ -672,7 +673,18 @@
         elif event < 0.79:
             w.boot(node)  # and again within the same instant, perhaps amid an election
             w.boot(rng.choice(names))
-        elif event < 0.82 and w.accepted:
+        elif event < 0.80:
+            w.frozen ^= {node}
+        elif event < 0.81 and w.workers:
+            # Many at once: they fall silent together, and come back together or not at all.
+            many = rng.sample(sorted(w.workers), (len(w.workers) + 1) // 2)
+            if rng.random() < 0.5:
+                w.cut |= {(name, other) for name in many for other in names}
+            else:
+                for name in many[: len(many) // 2]:
+                    w.workers.pop(name)
+                w.cut.clear()
+        elif event < 0.83 and w.accepted:
             w.query(node, rng.choice(sorted(w.accepted)))
         else:
             w.step(rng.choice([0.2, 0.5, 1.0, 3.0]))
@@ -683,6 +695,7 @@
     w.state.down = False
     w.state.lost.clear()
     w.mesh_cut.clear()
+    w.frozen.clear()
     for worker in w.workers.values():
         worker.deaf = False
     w.state.refuses.clear()
@@ -905,7 +918,7 @@
     monkeypatch.setattr(node.store, "commit", refused)
     node.writes.drain()
     for _ in range(4):
-        w.clock.now += 0.5
+        w.pass_time(0.5)
         w.step_node("n0")
     assert node.engine.has_news()
     for number in range(1, 6):
@@ -932,7 +945,7 @@
     w.state.rows[key] = ("!!", whole[key][1], None)
     node = w.boot("n0")
     for _ in range(10):
-        w.clock.now += 1.0
+        w.pass_time(1.0)
         w.state.expire()
         w.step_node("n0")
     assert node.query("req-000001")[0] == 503
@@ -989,7 +1002,7 @@
     assert node.membership.claim("n0")
     w.step_node("n0")  # adopted again, under the new map
     assert node.engine.term == node.membership.view.stamp != batch.term
-    w.clock.now += 0.1
+    w.pass_time(0.1)
     node.engine.committed(batch, w.clock.now)
     assert not any(p.durable for p in batch.placements)
     assert node.engine.verified_at < w.clock.now
@@ -1011,7 +1024,7 @@
     del w.workers[worker.name]
     for name in list(w.nodes):
         del w.nodes[name]
-    w.clock.now += 60.0
+    w.pass_time(60.0)
     w.boot("n0")
     for _ in range(4):
         w.step()
@@ -1024,7 +1037,7 @@
 def wait(w: World, seconds: float, fleet: bool = True, wander: bool = True) -> None:
     """Time passes in half seconds; workers find their own way, finished tasks are not the story's matter."""
     for _ in range(int(seconds * 2)):
-        w.clock.now += 0.5
+        w.pass_time(0.5)
         w.state.expire()
         for name in list(w.nodes):
             w.step_node(name)
@@ -1176,7 +1189,7 @@
     w.cancel(owner, "req-000001")
     w.boot(owner)  # and the next owner has not heard the machine yet
     for _ in range(10):
-        w.clock.now += 0.5
+        w.pass_time(0.5)
         w.state.expire()
         for name in list(w.nodes):
             w.step_node(name)
@@ -1200,7 +1213,7 @@
     sheltered = w.nodes[other].relay
     before = dict(sheltered._until), dict(sheltered._reports)
     for _ in range(3):
-        w.clock.now += 2.0
+        w.pass_time(2.0)
         w.replay(copy, other)
     assert (sheltered._until, sheltered._reports) == before
     machine = next(iter(w.nodes[owner].engine.machines.values()))
@@ -1272,3 +1285,97 @@
     assert len(mine) >= turns * 2, "2 of 100 tasks a turn"
     done = [part for part in w.done_tasks if part.startswith("req-000001/")]
     assert len(done) >= len(mine) - 2, "nobody pushed them out"
+
+
+def stands_still(nodes: int = 3) -> tuple[World, str]:
+    """A world with work running whose owner stands still for a minute."""
+    w = quiet(machines=4, nodes=nodes)
+    w.submit("n0", w.job(1, crew="blue", parts=16, guess_s=500.0))
+    wait(w, 3.0, fleet=False)
+    assert len(running(w)) == 16
+    old = w.owner()
+    w.frozen.add(old)
+    for _ in range(120):
+        w.step(0.5)
+        for worker in w.workers.values():
+            w.wander(worker)
+    w.frozen.clear()
+    assert w.nodes[old].engine.owner, "it goes on with the view that it had"
+    return w, old
+
+
+def test_an_owner_that_stood_still_judges_and_commands_nothing_on_its_old_view():
+    """Whichever of its threads goes on first. One deleted the fleet, silent for a minute as it seemed."""
+    for first in ("fleet", "delete", "rent", "command", "report"):
+        w, old = stands_still()
+        assert [n for n in w.nodes if n != old and w.nodes[n].engine.owner], "another has taken over"
+        assert len(running(w)) == 16
+        node = w.nodes[old]
+        rented, sent = w.rented, []
+        node._command = lambda address, body, sent=sent: sent.append(address)
+        worker = next(iter(w.workers.values()))
+        if first == "fleet":
+            w.fleet(old)
+        elif first == "delete":
+            node.delete(sorted(w.workers))
+        elif first == "rent":
+            node.rent("small", "north", True, 3, "backlog")
+            assert not node.engine.refused, "the cloud was not asked, so it has refused nothing"
+        elif first == "command":
+            index = node.engine.machines_by.find(worker.name)
+            for place in node.engine.machines[index].open.values():
+                node.engine._halt(place, 0.0)
+            node._command_step()
+        else:
+            copy = msgspec.structs.replace(worker.report(), token=1, tick=999)
+            assert node.report(copy, -1e18)[0] == 503
+        assert w.deleted == [] and w.rented == rented and sent == [], first
+        wait(w, 10.0)
+        assert w.deleted == [] and len(running(w)) == 16
+
+
+def test_the_only_controller_stands_still_and_loses_no_machine():
+    """Nobody takes over; all leases run out, and everybody comes back with a new session."""
+    w, _ = stands_still(nodes=1)
+    before = set(w.workers)
+    wait(w, 10.0)
+    assert w.deleted == [] and set(w.workers) >= before
+    assert len(running(w)) == 16
+
+
+def test_an_outage_longer_than_any_patience_costs_no_machine():
+    """From a bound on reports are turned away, so all workers are silent: that is our doing, not theirs."""
+    w = quiet(machines=4)
+    w.submit("n0", w.job(1, crew="blue", parts=16, guess_s=500.0))
+    wait(w, 3.0)
+    before = set(w.workers)
+    w.state.down = True
+    wait(w, 90.0)
+    w.state.down = False
+    wait(w, 10.0)
+    assert w.deleted == [] and set(w.workers) == before
+    assert len(running(w)) == 16
+
+
+@pytest.mark.parametrize("fields", [{"loaners": False}, {"builds": ["cards"], "parts": 1}])
+def test_work_that_no_machine_of_the_fleet_may_take_gets_one_of_its_own(fields):
+    """An idle fleet that may not serve a job was reason enough to rent nothing; the job waited for ever."""
+    w = quiet(machines=3)
+    w.submit("n0", w.job(1, **fields))
+    wait(w, 12.0)
+    assert len(running(w)) == w.specs["req-000001"].tasks  # the world sees to it that the place is allowed
+
+
+def test_where_no_cheap_machine_is_to_be_had_stranded_work_gets_an_ordinary_one(monkeypatch):
+    w = quiet(machines=3)
+    rent = w.rent
+
+    def no_spot(request, kind, zone, spot, count):
+        if spot:
+            raise NoCapacity
+        return rent(request, kind, zone, spot, count)
+
+    monkeypatch.setattr(w, "rent", no_spot)
+    w.submit("n0", w.job(1, builds=["cards"], parts=1))
+    wait(w, 12.0)
+    assert len(running(w)) == 1
--- a/tests/world.py
+++ b/tests/world.py
@@ -326,6 +326,7 @@
         self.done_tasks: set[str] = set()
         self.incarnations = 0
         self.cut: set[tuple[str, str]] = set()  # (worker, node) pairs that can't talk
+        self.frozen: set[str] = set()  # nodes that stand still while their clocks run on
         self.mesh_cut: set[str] = set()  # nodes that the other controllers don't reach
         self.sent: list[workers.Report] = []  # copies of reports, to come once more, late
         self.nodes: dict[str, Controller] = {}
@@ -354,11 +355,11 @@
                     node.commit_once()
             except (Unavailable, Unknown, LeaseGone):
                 pass
-            self.clock.now += min(seconds, 0.05)
+            self.pass_time(min(seconds, 0.05))
 
         def asker(other: str) -> Callable[[float], Any]:
             def ask(timeout_s: float) -> Any:
-                if other not in self.nodes or self.mesh_cut & {name, other}:
+                if other not in self.nodes or other in self.frozen or self.mesh_cut & {name, other}:
                     return None
                 return self.nodes[other].status()
 
@@ -386,8 +387,19 @@
             return False
         return True
 
+    def pass_time(self, seconds: float) -> None:
+        """The clock goes on; a controller notices if it stood still meanwhile."""
+        end = self.clock.now + seconds
+        while self.clock.now < end:
+            self.clock.now = min(end, self.clock.now + 0.5)
+            for name, node in self.nodes.items():
+                if name not in self.frozen:
+                    node.pulse.woke()
+
     def step_node(self, name: str) -> None:
         """What the threads of one controller do in a while."""
+        if name in self.frozen:
+            return
         node = self.nodes[name]
         self.try_(lambda: node.mirror.pull(0.0))
         self.try_(node._member_step)
@@ -400,10 +412,10 @@
     def fleet(self, name: str) -> None:
         """What the cloud threads of one controller do in a while."""
         node = self.nodes[name]
-        if not node.engine.owner:
+        if not node.engine.owner or name in self.frozen:
             return
         self.try_(node._list_step)
-        step = node.engine.fleet_step()
+        step = node.fleet_once()
         for rental in step.rentals:
             node.rent(*rental)
         if step.deletions:
@@ -411,7 +423,7 @@
 
     def step(self, seconds: float = 0.5) -> None:
         """Some time passes: every controller steps, every worker reports to the owner."""
-        self.clock.now += seconds
+        self.pass_time(seconds)
         self.state.expire()
         for name in list(self.nodes):
             self.step_node(name)
@@ -424,14 +436,14 @@
 
     def owner(self) -> str | None:
         for name, node in self.nodes.items():
-            if node.engine.owner:
+            if node.engine.owner and name not in self.frozen:
                 return name
         return None
 
     def report(self, worker: Worker, node: str | None = None) -> int:
         """The worker reports to a node, or to the owner."""
         node = node or self.owner()
-        if node is None or node not in self.nodes or (worker.name, node) in self.cut:
+        if node is None or not self.reaches(worker, node):
             return 0
         report = worker.report()
         sent = self.clock.now
@@ -445,19 +457,21 @@
             worker.at = orjson.loads(answer[1]).get("foreman", worker.at)
         return status
 
+    def reaches(self, worker: Worker, node: str) -> bool:
+        return node in self.nodes and node not in self.frozen and (worker.name, node) not in self.cut
+
     def wander(self, worker: Worker) -> int:
         """The worker reports where it last was answered or was sent to, else to the next node."""
         worker.check_lease()
         node = worker.at = worker.at or self.names[0]
-        reached = node in self.nodes and (worker.name, node) not in self.cut
-        status = self.report(worker, node) if reached else 0
+        status = self.report(worker, node)
         if status not in (200, 421) or (status == 421 and worker.at == node):
             worker.at = self.names[(self.names.index(node) + 1) % len(self.names)]
         return status
 
     def replay(self, report: workers.Report, node: str) -> None:
         """A copy of an old report comes late, on a connection of its own; nobody reads the answer."""
-        if node in self.nodes:
+        if node in self.nodes and node not in self.frozen:
             self.nodes[node].report(copy_of(report), -1e18)
 
     # -- users -----------------------------------------------------------------------------------------
