--- a/bayford/cli.py
+++ b/bayford/cli.py
@@ -18,6 +18,7 @@
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 STACK = 256 * 1024
+THREADS = 1800  # for connections, of the 2,000 that the platform lets a process have
 
 
 def _logging() -> str | None:
@@ -65,22 +66,15 @@
 
         return ask
 
-    def commander() -> Callable[[str, bytes], bytes | None]:
-        clients: dict[str, Client] = {}
-
-        def command(address: str, body: bytes) -> bytes | None:
-            client = clients.get(address)
-            if client is None:
-                if len(clients) > 500:
-                    clients.clear()
-                client = clients[address] = Client(*split_address(address), most_idle=1, connect_s=0.7)
-            try:
-                status, answer = client.call("POST", workers.COMMANDS_PATH, body, 1.5)
-            except (Unavailable, Unknown):
-                return None
-            return answer if status in (200, 409) else None
-
-        return command
+    def command(address: str, body: bytes) -> bytes | None:
+        # Of hundreds of machines any may be told to stop something, seldom the same one again soon: a
+        # connection kept for each would cost as many sockets as the workers' own.
+        client = Client(*split_address(address), most_idle=0, connect_s=0.7)
+        try:
+            status, answer = client.call("POST", workers.COMMANDS_PATH, body, 1.5)
+        except (Unavailable, Unknown):
+            return None
+        return answer if status in (200, 409) else None
 
     controller = Controller(
         settings,
@@ -89,11 +83,11 @@
         CloudApi(cloud.call),
         incarnation,
         {peer.member: asker(peer.endpoint) for peer in settings.seeds},
-        commander(),
+        command,
     )
-    # Every worker, and users beside them, may come to one controller: a thread each, a tenth of a MB or so.
+    # Every worker, and users beside them, may come to one controller: a thread each, 0.03 MB as measured.
     limits = settings.facts.machine_limits
-    most = max(32, min(limits.fd_limit * 3 // 4, int(limits.mem_mb * 5)))
+    most = max(32, min(limits.fd_limit * 3 // 4, int(limits.mem_mb * 8), THREADS))
     front = Server(*split_address(settings.front), Front(controller, Limit()).handle, most, "front")
     peers = Server(*split_address(settings.mesh_addr), Mesh(controller).handle, 32, "mesh")
     front.start()
--- a/bayford/transport/front.py
+++ b/bayford/transport/front.py
@@ -12,6 +12,10 @@
     def __init__(self, controller: Controller, limit: Limit) -> None:
         self._controller = controller
         self._limit = limit
+        # A worker sends again within a quarter more than `report_s`, and after 4 s without an answer it has
+        # left. What stays silent for longer is what a cut or a dead machine left behind; a fleet that comes
+        # back from a cut must not find its own old connections in its way.
+        self._worker_idle_s = 2.0 * controller.settings.facts.workers.report_s + 4.0
 
     def handle(self, request: Request) -> Response:
         """Route one request. Reports and health checks are never shed behind users."""
@@ -35,7 +39,8 @@
             report = workers.parse_report(request.body)
         except jobs.Invalid as bad:
             return Response(400, jobs.error(str(bad)))
-        return Response(*self._controller.report(report, request.after))
+        status, body = self._controller.report(report, request.after)
+        return Response(status, body, idle_s=self._worker_idle_s)
 
     def _user(self, request: Request, path: str) -> Response:
         rest = path[len(jobs.SUBMIT_PATH) :].strip("/").split("/")
@@ -53,9 +58,13 @@
             return Response(404, jobs.error("no such job"))
         # A request that can't be taken is answered at once, with when to come back.
         with self._limit.enter() as entered:
-            if not entered:
-                return _later(503, jobs.error("too many requests in progress"))
-            return self._serve(request, rest)
+            if entered:
+                response = self._serve(request, rest)
+            else:
+                response = _later(503, jobs.error("too many requests in progress"))
+        if request.crowded:
+            response.idle_s = 0.0  # users' connections must not shut out the workers
+        return response
 
     def _serve(self, request: Request, rest: list[str]) -> Response:
         answer: Answer
--- a/bayford/transport/server.py
+++ b/bayford/transport/server.py
@@ -10,7 +10,7 @@
 
 log = logging.getLogger("bayford.server")
 
-IDLE_S = 40.0
+IDLE_S = 40.0  # a connection of which nothing else is known
 REQUEST_S = 5.0
 MAX_BODY = 64 * 1024
 MAX_LINE = 8 * 1024
@@ -26,22 +26,25 @@
 
 @dataclass(slots=True)
 class Request:
-    """One request. `after`: when the answer before it on its connection had been sent."""
+    """One request. `after`: when the answer before it on its connection had been sent. `crowded`: whether
+    most connections that the server may have are taken."""
 
     method: str
     path: str
     body: bytes
     after: float
     headers: dict[str, str] = field(default_factory=dict)
+    crowded: bool = False
 
 
 @dataclass(slots=True)
 class Response:
-    """What to answer."""
+    """What to answer. The connection is then kept for the next request for `idle_s`, 0: not at all."""
 
     status: int
     body: bytes
     headers: tuple[tuple[str, str], ...] = ()
+    idle_s: float = IDLE_S
 
 
 Handle = Callable[[Request], Response]
@@ -66,13 +69,18 @@
         """Serve requests until either side is done."""
         self.close_connection = False
         after = -1e18
+        idle_s = IDLE_S
         try:
             while not self.close_connection:
-                self.connection.settimeout(IDLE_S)
+                self.connection.settimeout(idle_s)
                 request = self._read(after)
                 if request is None:
                     return
+                request.crowded = self.server.crowded
                 response = self.server.handle(request)
+                idle_s = response.idle_s
+                if not idle_s:
+                    self.close_connection = True
                 after = self._send(response)
         except _Refused as bad:
             self.close_connection = True
@@ -170,7 +178,9 @@
 
     def __init__(self, host: str, port: int, handle: Handle, most: int, name: str) -> None:
         self._handle = handle
-        self._slots = threading.BoundedSemaphore(most)
+        self._most = most
+        self._open = 0
+        self._lock = threading.Lock()
         self._name = name
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -178,6 +188,22 @@
         self._socket.listen(256)
         self.port: int = self._socket.getsockname()[1]
 
+    @property
+    def crowded(self) -> bool:
+        """Whether three quarters of the connections are taken."""
+        return self._open * 4 > self._most * 3
+
+    def _enter(self) -> bool:
+        with self._lock:
+            if self._open >= self._most:
+                return False
+            self._open += 1
+            return True
+
+    def _leave(self) -> None:
+        with self._lock:
+            self._open -= 1
+
     def handle(self, request: Request) -> Response:
         """One request; a fault in a handler costs that request alone."""
         try:
@@ -198,14 +224,14 @@
                 log.error("%s: accept: %s", self._name, bad)
                 time.sleep(0.05)
                 continue
-            if not self._slots.acquire(blocking=False):
+            if not self._enter():
                 # Refused rather than left waiting: the load balancer then tries another node.
                 connection.close()
                 continue
             try:
                 threading.Thread(target=self._serve, args=(connection, peer), daemon=True).start()
             except RuntimeError:
-                self._slots.release()
+                self._leave()
                 connection.close()
 
     def _serve(self, connection: socket.socket, peer: tuple[str, int]) -> None:
@@ -214,7 +240,7 @@
         except Exception as bad:
             log.debug("connection: %r", bad)
         finally:
-            self._slots.release()
+            self._leave()
             try:
                 connection.close()
             except OSError:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -15,6 +15,7 @@
 from bayford.scheduling import fleet
 from bayford.scheduling.policy import Policy
 from bayford.storage import records
+from bayford.transport.front import Front
 from bayford.transport.limit import Limit
 from bayford.transport.server import Request, Response, Server
 
@@ -230,3 +231,35 @@
     half = b"POST /b HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc"
     assert _ask(server.port, half) == b"", "a body that stops half way gets no answer"
     assert threading.active_count() < 20
+
+
+def test_in_a_crowd_users_do_not_keep_connections_and_what_a_cut_left_behind_goes_soon():
+    """A fleet that comes back from a cut found its own old connections, kept for 40 s, in its way."""
+    w = World()
+    front = Front(w.nodes["n0"], Limit())
+    server = Server("127.0.0.1", 0, front.handle, 4, "crowd")
+    server.start()
+    ask = b"GET /api/jobs/req-000001 HTTP/1.1\r\n\r\n"
+
+    def connect() -> socket.socket:
+        return socket.create_connection(("127.0.0.1", server.port), timeout=5)
+
+    def answer(sock: socket.socket) -> bytes:
+        sock.sendall(ask)
+        return sock.recv(65536)
+
+    with connect() as first, connect() as second, connect() as third:
+        for sock in (first, second, third):
+            assert b"Connection: close" not in answer(sock), "no crowd, the connection is kept"
+        with connect() as fourth:
+            assert b"Connection: close" in answer(fourth) and fourth.recv(1) == b""
+        assert b"Connection: close" not in answer(first), "there is room again"
+    facts = w.settings("n0").facts.workers
+    report = orjson.dumps(
+        {
+            "dock": "vm-000001", "addr": "10.1.0.1:9000", "build": "small", "yard": "north", "loaners": True,
+            "shift": 1, "tick": 1, "baton": 0, "recall_s": None, "parts": [],
+        }
+    )  # fmt: skip
+    kept = front.handle(Request("POST", workers.REPORT_PATH, report, -1e18))
+    assert kept.status in (200, 421, 503) and 1.25 * facts.report_s + 4.0 < kept.idle_s < facts.lease_s
