--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -94,7 +94,8 @@
         self.pulse = Pulse(clock)
         self._born = self._listening = clock()  # since when workers' reports have been taken without a break
         self._peer_heard = -1e18
-        self._peer_served = -1e18  # when a peer last said that the state service serves it
+        self._peers_served: dict[str, float] = {}  # when each last said that the state service serves it
+        self._zones = zones
         engine.with_ledger = self.mirror.with_ledger
         engine.on_ready = self._on_ready
         engine.on_halt = self._on_halt
@@ -488,7 +489,7 @@
             self._peer_heard = self.clock()
             self.membership.heard(status.token)
             if status.served:
-                self._peer_served = self.clock()
+                self._peers_served[name] = self.clock()
         if self.membership.behind:
             self.mirror.pull(0.0)
             self._settle()
@@ -503,6 +504,12 @@
         """Whether the state service has done what this node asked, lately."""
         return self.clock() - self.membership.renewed < SERVED_S
 
+    def _served_peers(self) -> list[str]:
+        """The others in reach that the state service serves, those in our zone first."""
+        now = self.clock()
+        able = [n for n, at in self._peers_served.items() if now - at <= SERVED_S]
+        return sorted(able, key=lambda n: (self._zones.get(n) != self._zones[self.name], n))
+
     def isolated(self) -> bool:
         """Whether this node alone must be cut off: neither the state service, which in an outage at least
         refuses, nor any other controller has said a word for longer than our lease."""
@@ -539,6 +546,12 @@
         left = report.token == view.token and report.tick > 2
         if not self.relay.shelters(report.machine, unreachable, left):
             return 421, workers.redirect(view.owner)
+        if not self._served():
+            # We could neither pass its report on nor know its orders, and the owner would take it for
+            # silent: another in reach can do both.
+            able = [name for name in self._served_peers() if name != view.owner]
+            if able:
+                return 421, workers.redirect(able[0])
         return self._report_sheltered(report)
 
     def _report_owned(self, report: workers.Report, arrival: float, after: float) -> Answer:
@@ -603,7 +616,7 @@
         """
         if self.mirror.revision < 0 or self.isolated():
             return False
-        return self._served() or self.clock() - self._peer_served > SERVED_S
+        return self._served() or not self._served_peers()
 
     def _answered(self, call: Callable[[], Answer]) -> Answer:
         """What can't be known or written now is answered at once: 503."""
--- a/bayford/coordination/relay.py
+++ b/bayford/coordination/relay.py
@@ -18,7 +18,7 @@
 log = logging.getLogger("bayford.relay")
 
 SHELTER_S = 30.0
-RETURN_S = 20.0
+BACK_S, RETURN_S = 0.5, 20.0  # when a worker that could not reach the owner is back: 1 s at the least
 FIRST_S = 10.0  # until the owner is tried again by a machine that lost it
 AGAIN_S = 60.0
 OLD_S = 15.0
@@ -78,7 +78,7 @@
             if until > now:
                 return True
             sent = self._sent_away.pop(machine, None)
-            if sent is not None and 1.0 < now - sent < RETURN_S:
+            if sent is not None and BACK_S < now - sent < RETURN_S:
                 self._until[machine] = now + SHELTER_S
                 return True
             if owner_unreachable or (left_owner and now - until > AGAIN_S):
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -384,6 +384,23 @@
     assert worker.running() == []
 
 
+def test_a_relay_that_the_state_does_not_serve_sends_workers_to_one_that_it_serves():
+    """It kept them, their reports went nowhere, and the owner deleted a sixth of the fleet as silent."""
+    w = quiet(machines=1, nodes=3)
+    owner = w.owner()
+    worker = next(iter(w.workers.values()))
+    w.submit(owner, w.job(1, parts=4, guess_s=500.0))
+    wait(w, 3.0, fleet=False)
+    lost, able = (n for n in w.nodes if n != owner)
+    w.cut.add((worker.name, owner))
+    w.state.refuses.add(lost)
+    worker.at = lost
+    before = running(w)
+    wait(w, 40.0)
+    assert w.deleted == [] and running(w) == before and len(before) == 4
+    assert worker.at == able
+
+
 def test_during_an_outage_reports_are_answered_nothing_starts_and_it_ends_in_time():
     w = quiet(machines=1)
     w.submit("n0", w.job(1, parts=1))
