--- a/bayford/coordination/reports.py
+++ b/bayford/coordination/reports.py
@@ -172,8 +172,19 @@
         elif state.why == workers.ERROR:
             self._failed(machine, job, place.part, now)
         else:
-            job.not_before = max(job.not_before, now + 2.0)
             log.info("machine %s refused %s: %s", machine.name, place.part, state.why)
+            if state.why == workers.UNKNOWN and job.not_before <= now:
+                # A submission that its user gave up on and that was executed late: no worker may ever know
+                # it. Tried every other second it would keep room from everybody else for ever.
+                self._hold_back(job, now, 2.0)
+            job.not_before = max(job.not_before, now + 2.0)
+
+    def _hold_back(self, job: Job, now: float, first_s: float) -> float:
+        """Try the job again only after a while, each time a longer one."""
+        wait = min(60.0, first_s * 2.0 ** min(job.held_back, 5))
+        job.held_back += 1
+        job.not_before = now + wait
+        return wait
 
     def _failed(self, machine: Machine, job: Job, part: str, now: float) -> None:
         """A task failed: blame the machine if it fails several jobs, the job if it fails everywhere."""
@@ -191,9 +202,7 @@
             for p in job.open.values()
         )
         if len(job.failed_on) >= self.policy.job_fault_machines and not runs:
-            wait = min(60.0, 8.0 * 2.0 ** min(job.held_back, 3))
-            job.held_back += 1
-            job.not_before = now + wait
+            wait = self._hold_back(job, now, 8.0)
             job.failed_on.clear()
             log.error("job %s fails on every machine; next try in %.0f s", job.spec.id, wait)
             return
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -516,6 +516,25 @@
     assert not any(m.quarantined for m in w.nodes["n0"].engine.machines.values())
 
 
+def test_a_job_that_no_worker_knows_does_not_keep_room_from_others():
+    """Its submission was executed, the answer lost, and its user gave up."""
+    w = quiet(machines=1)
+    w.capacity = 0
+    w.state.lose_answer.add("n0")
+    assert w.submit("n0", w.job(1, parts=4)) == 503
+    assert w.submit("n0", w.job(2, parts=5)) == 201
+    tries = 0
+    for _ in range(60):
+        wait(w, 1.0)
+        tries += any(
+            a.part.startswith("req-000001") for worker in w.workers.values() for a in worker.tasks.values()
+        )
+        for part in running(w)[:1]:
+            w.finish(part)
+    assert w.query("n0", "req-000002") == "done"
+    assert 2 <= tries <= 12, "it is tried, more and more seldom"
+
+
 def test_an_array_that_fails_on_some_machines_and_runs_on_others_is_not_at_fault():
     w = quiet(machines=4)
     w.submit("n0", w.job(1, crew="blue", parts=40, guess_s=60.0))
