--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -154,14 +154,14 @@
             cpus += self.types[option.type].cpus * count
         held = sum(p.spec.cpus * len(p.open) for p in self.jobs.values() if p.spec.priority >= URGENT)
         work = sum(n.tasks * n.cpus * n.run_s for n in needs)
+        busy = work / cpus if cpus else (1e9 if work else 0.0)
         refused = frozenset(o for o, until in self.refused.items() if until > now)
         for rental in fleet.wanted(
             needs,
             self.types,
             spare,
             refused,
-            work,
-            cpus,
+            busy,
             self.policy.ordinary_after_s,
             self.policy.patience_s,
             cpus - held,
@@ -170,8 +170,8 @@
             self._asked_for(option, rental.count)
             kind, zone = self.types_by[option.type], self.zones[option.zone]
             log.info(
-                "renting %d %s in %s%s: %s (%.0f CPU seconds wait for %.0f CPUs)",
-                rental.count, kind, zone, " (spot)" if option.spot else "", rental.why, work, cpus,
+                "renting %d %s in %s%s: %s (backlog %.0f s)", rental.count, kind, zone,
+                " (spot)" if option.spot else "", rental.why, busy,
             )  # fmt: skip
             step.rentals.append((kind, zone, option.spot, rental.count, rental.why))
 
--- a/bayford/scheduling/fleet.py
+++ b/bayford/scheduling/fleet.py
@@ -1,6 +1,5 @@
 """When to rent and when to return machines. Pure: the caller counts, this decides."""
 
-import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
@@ -59,26 +58,22 @@
     types: Sequence[MachineType],
     spare: Mapping[Option, int],
     refused: frozenset[Option],
-    work: float,
-    cpus: float,
+    busy_s: float,
     ordinary_after_s: float,
     patience_s: float,
     yielding_cpus: float,
 ) -> list[Rental]:
     """What to rent for `needs`.
 
-    `spare` counts machines that are coming up, by kind; they serve needs first. `work` waits, in CPU seconds,
-    for a fleet of `cpus`. The fleet grows until it clears that within `patience_s`: a machine costs its boot
-    and a minute at least, so one that came for less work would be paid for idling. Dearer ordinary machines
-    are taken only when the backlog exceeds `ordinary_after_s` or for urgent work that neither the
-    `yielding_cpus` (held by work that it may push out, or on their way) can serve.
+    `spare` counts machines that are coming up, by kind; they serve needs first. `busy_s` is how long the
+    present fleet needs for its backlog: work that the fleet clears within `patience_s` waits for it, and
+    dearer ordinary machines are taken only when the backlog exceeds `ordinary_after_s` or for urgent work
+    that neither the `yielding_cpus` (held by work that it may push out, or on their way) can serve.
 
     A fleet that may not serve a job is no reason for it to wait: work that no machine of the present fleet
     may take needs one of its own, an ordinary one where no cheap one may serve it or is to be had.
     """
     coming = dict(spare)
-    busy_s = work / cpus if cpus else (float("inf") if work else 0.0)
-    grow = work / patience_s - cpus
     ask: dict[Option, tuple[int, str]] = {}
     for need in sorted(needs, key=lambda n: (not n.urgent, not n.dear, -n.run_s)):
         left = need.tasks
@@ -91,9 +86,8 @@
                 left -= use * per
                 if left <= 0:
                     break
-        own = need.tasks * need.cpus * need.run_s / patience_s - need.hosts  # of those that may serve it
-        room = math.inf if need.urgent or not need.hosts else max(grow, own)
-        if left <= 0 or room <= 0:
+        own_s = need.tasks * need.cpus * need.run_s / need.hosts if need.hosts else float("inf")
+        if left <= 0 or (not need.urgent and max(busy_s, own_s) < patience_s):
             continue
         cheap = any(o.spot for o in need.options)
         stranded = not need.hosts and not any(o.spot for o in need.options - refused)
@@ -114,9 +108,6 @@
             choices.append((rate / per * (1.0 + kind.boot_s / (MIN_CHARGE_S * 4)), option, per))
         for _, option, per in sorted(choices, key=lambda c: (c[0], c[1].type, c[1].zone, c[1].spot)):
             count = min(50, -(-(left if option.spot else dear) // per))
-            if option.spot:
-                count = min(count, math.ceil(room / max(kind.cpus, EPS)) if room < math.inf else count)
-                grow -= count * kind.cpus
             before, why = ask.get(option, (0, "urgent work waits" if need.urgent else "backlog"))
             ask[option] = (before + count, why)
             break
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -21,7 +21,7 @@
     # renting and returning
     ordinary_after_s: float = 1e9
     target_margin: float = 1.0
-    patience_s: float = 20.0
+    patience_s: float = 2.0
     refused_s: float = 20.0
     keep_idle_s: float = 30.0
     surplus_idle_s: float = 8.0
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -20,7 +20,7 @@
 # --- renting and returning
 # ordinary_after_s = 1e9     # backlog, in seconds of the fleet, from which dear machines are rented anyhow
 # target_margin = 1.0        # dear machines are rented for work expected past this share of its aim
-# patience_s = 20.0          # the fleet grows until it clears its backlog within this
+# patience_s = 2.0           # a backlog shorter than this waits for the present fleet
 # refused_s = 20.0           # how long a refusal by the cloud is remembered
 # keep_idle_s = 30.0         # idle machines of the reserve go back after this
 # surplus_idle_s = 8.0       # others after this
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -149,13 +149,13 @@
     spot, dear = fleet.Option(0, 0, True), fleet.Option(0, 0, False)
     need = fleet.Need(frozenset({spot, dear}), 8, 1.0, 0.0, 1.0, 20.0, False, 0, 640.0)
 
-    def ask(need, refused=(), spare=None, yields=0.0, work=320.0, cpus=6.0):
-        got = fleet.wanted([need], types, spare or {}, frozenset(refused), work, cpus, 1e9, 2.0, yields)
+    def ask(need, refused=(), spare=None, yields=0.0, busy=50.0):
+        got = fleet.wanted([need], types, spare or {}, frozenset(refused), busy, 1e9, 2.0, yields)
         return [(r.option, r.count) for r in got]
 
     assert ask(need) == [(spot, 2)]
     assert ask(need, spare={spot: 1}) == [(spot, 1)]
-    assert ask(need, work=10.0) == []
+    assert ask(need, busy=1.0) == []
     assert ask(need, refused=[spot]) == []
     late = fleet.Need(need.options, 8, 1.0, 0.0, 1.0, 20.0, False, 3, 640.0)
     assert ask(late, refused=[spot]) == [(dear, 1)], "only as many as are worth it"
