--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -465,10 +465,11 @@
         """How long an owner that can't reach the state service may go on answering reports.
 
         Its answers keep leases alive for `lease_s` more; a cancellation that was told elsewhere right
-        after the last verified moment must still see the tasks gone within `cancel_s`.
+        after the last verified moment must still see the tasks gone within `cancel_s`. Never less than a
+        verification takes to come round, or no owner could ever be sure.
         """
         facts = self.settings.facts.workers
-        return max(0.0, facts.cancel_s - facts.lease_s - 5.0)
+        return max(3.0, facts.cancel_s - facts.lease_s - 5.0)
 
     def has_news(self) -> bool:
         """Whether something waits to be written."""
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -85,6 +85,7 @@
         self._kick = threading.Event()
         self._commit = threading.Event()
         self._verify = threading.Event()
+        self._verified = threading.Event()
         self._ready: dict[int, threading.Event] = {}
         self._rentals: queue.Queue[tuple[str, str, bool, int, str]] = queue.Queue(64)
         self._deletions: queue.Queue[str] = queue.Queue(1000)
@@ -205,9 +206,11 @@
             late = self.clock() - max(self.engine.verified_at, self.engine.owner_since)
             if late > self.engine.unverified_limit() or self.membership.behind or self.clock() >= until:
                 return False
+            # One event for all: after a standstill the whole fleet's reports wait here at once.
+            self._verified.clear()
             self._verify.set()
             self._commit.set()
-            self._pause(threading.Event(), 0.05)
+            self._pause(self._verified, 0.3)
         return True
 
     def _watch_step(self) -> float:
@@ -315,6 +318,7 @@
         # Our own rows first: a query answered from here must not lag behind what we act upon.
         self.mirror.apply([Row(p.key, p.value, outcome.revision) for p in batch.puts], tell=False)
         self.engine.committed(batch, began)
+        self._verified.set()
 
     def _verify_step(self, term: int) -> None:
         """Compare the map alone: the gate of starts, and the proof that we are still owner."""
@@ -327,6 +331,7 @@
         outcome = self.store.commit({records.MAP: term}, [])
         if outcome.applied:
             self.engine.verified(began, term)
+            self._verified.set()
             self._wake_all()
         else:
             self.mirror.pull(0.0)
--- a/bayford/coordination/pulse.py
+++ b/bayford/coordination/pulse.py
@@ -8,7 +8,8 @@
 import threading
 from collections.abc import Callable
 
-STILL_S = 1.0  # a longer gap between two beats; to be wrong about it costs one comparison of the map
+# A shorter gap between two beats can't have cost us the membership, and a busy processor makes gaps too.
+STILL_S = 2.0
 BEAT_S = 0.25
 
 
--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -104,7 +104,9 @@
                     options.add(fleet.Option(index, zone, False))
                     if job.spec.spot:
                         options.add(fleet.Option(index, zone, True))
-            job.cheap_hosts = any(o.spot and o in present for o in options)
+            hosts = sum(present.get(o, 0.0) for o in options)
+            cheap_hosts = sum(present.get(o, 0.0) for o in options if o.spot)
+            job.cheap_hosts = cheap_hosts > 0
             run = self.expected(job)
             ahead += count * job.spec.cpus * run
             dear = 0
@@ -130,7 +132,8 @@
                     run,
                     job.spec.priority >= URGENT,
                     dear,
-                    sum(present.get(o, 0.0) for o in options),
+                    hosts,
+                    cheap_hosts,
                 )  # fmt: skip
             )
         self.dear_serves = keep_dear or not cheap
--- a/bayford/scheduling/fleet.py
+++ b/bayford/scheduling/fleet.py
@@ -30,6 +30,7 @@
     urgent: bool
     dear: int  # how many of the tasks are worth dear machines, for else the aim is missed
     hosts: float  # CPUs of the present fleet, what is coming included, that may serve it
+    cheap: float  # the spot ones of them
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,9 +90,8 @@
         own_s = need.tasks * need.cpus * need.run_s / need.hosts if need.hosts else float("inf")
         if left <= 0 or (not need.urgent and max(busy_s, own_s) < patience_s):
             continue
-        cheap = any(o.spot for o in need.options)
-        stranded = not need.hosts and not any(o.spot for o in need.options - refused)
-        dear = left if busy_s >= ordinary_after_s or not cheap or stranded else min(left, need.dear)
+        stranded = not need.cheap and not any(o.spot for o in need.options - refused)
+        dear = left if busy_s >= ordinary_after_s or stranded else min(left, need.dear)
         if need.urgent:
             yielded = min(left * need.cpus, yielding_cpus)
             yielding_cpus -= yielded
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -1,5 +1,6 @@
 """Validation, settings, script, limit, transport: the parts that the stories don't reach."""
 
+import dataclasses
 import json
 import socket
 import threading
@@ -147,7 +148,7 @@
 def test_fleet_prefers_spot_remembers_refusals_and_takes_dear_machines_only_in_need():
     types = World(1).catalog()
     spot, dear = fleet.Option(0, 0, True), fleet.Option(0, 0, False)
-    need = fleet.Need(frozenset({spot, dear}), 8, 1.0, 0.0, 1.0, 20.0, False, 0, 640.0)
+    need = fleet.Need(frozenset({spot, dear}), 8, 1.0, 0.0, 1.0, 20.0, False, 0, 640.0, 640.0)
 
     def ask(need, refused=(), spare=None, yields=0.0, busy=50.0):
         got = fleet.wanted([need], types, spare or {}, frozenset(refused), busy, 1e9, 2.0, yields)
@@ -157,9 +158,12 @@
     assert ask(need, spare={spot: 1}) == [(spot, 1)]
     assert ask(need, busy=1.0) == []
     assert ask(need, refused=[spot]) == []
-    late = fleet.Need(need.options, 8, 1.0, 0.0, 1.0, 20.0, False, 3, 640.0)
+    alone = dataclasses.replace(need, cheap=0.0)
+    assert ask(alone) == [(spot, 2)]
+    assert ask(alone, refused=[spot]) == [(dear, 2)], "no cheap one is there nor to be had"
+    late = fleet.Need(need.options, 8, 1.0, 0.0, 1.0, 20.0, False, 3, 640.0, 640.0)
     assert ask(late, refused=[spot]) == [(dear, 1)], "only as many as are worth it"
-    urgent = fleet.Need(need.options, 8, 1.0, 0.0, 1.0, 20.0, True, 0, 640.0)
+    urgent = fleet.Need(need.options, 8, 1.0, 0.0, 1.0, 20.0, True, 0, 640.0, 640.0)
     assert ask(urgent, refused=[spot]) == [(dear, 2)]
     assert ask(urgent, refused=[spot], yields=8.0) == [], "it may push out what yields"
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -1323,15 +1323,15 @@
     assert len(done) >= len(mine) - 2, "nobody pushed them out"
 
 
-def stands_still(nodes: int = 3) -> tuple[World, str]:
-    """A world with work running whose owner stands still for a minute."""
+def stands_still(nodes: int = 3, seconds: float = 60.0) -> tuple[World, str]:
+    """A world with work running whose owner stands still for a while."""
     w = quiet(machines=4, nodes=nodes)
     w.submit("n0", w.job(1, crew="blue", parts=16, guess_s=500.0))
     wait(w, 3.0, fleet=False)
     assert len(running(w)) == 16
     old = w.owner()
     w.frozen.add(old)
-    for _ in range(120):
+    for _ in range(int(seconds * 2)):
         w.step(0.5)
         for worker in w.workers.values():
             w.wander(worker)
@@ -1340,10 +1340,11 @@
     return w, old
 
 
-def test_an_owner_that_stood_still_judges_and_commands_nothing_on_its_old_view():
+@pytest.mark.parametrize("seconds", [20.0, 60.0])  # within the bound for outages, and beyond it
+def test_an_owner_that_stood_still_judges_and_commands_nothing_on_its_old_view(seconds):
     """Whichever of its threads goes on first. One deleted the fleet, silent for a minute as it seemed."""
     for first in ("fleet", "delete", "rent", "command", "report"):
-        w, old = stands_still()
+        w, old = stands_still(seconds=seconds)
         assert [n for n in w.nodes if n != old and w.nodes[n].engine.owner], "another has taken over"
         assert len(running(w)) == 16
         node = w.nodes[old]
@@ -1372,13 +1373,20 @@
 
 def test_the_only_controller_stands_still_and_loses_no_machine():
     """Nobody takes over; all leases run out, and everybody comes back with a new session."""
-    w, _ = stands_still(nodes=1)
+    w, name = stands_still(nodes=1)
     before = set(w.workers)
+    w.step_node(name)  # it is sure to be the owner again before anybody has reported
+    w.fleet(name)
     wait(w, 10.0)
     assert w.deleted == [] and set(w.workers) >= before
     assert len(running(w)) == 16
 
 
+def test_the_first_report_after_a_standstill_awaits_the_verification_that_it_calls_for():
+    w, name = stands_still(nodes=1, seconds=8.0)
+    assert w.report(next(iter(w.workers.values())), name) == 200
+
+
 def test_an_outage_longer_than_any_patience_costs_no_machine():
     """From a bound on reports are turned away, so all workers are silent: that is our doing, not theirs."""
     w = quiet(machines=4)
@@ -1388,6 +1396,8 @@
     w.state.down = True
     wait(w, 90.0)
     w.state.down = False
+    w.step_node("n0")  # it is sure to be the owner again before anybody has reported
+    w.fleet("n0")
     wait(w, 10.0)
     assert w.deleted == [] and set(w.workers) == before
     assert len(running(w)) == 16
