--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -30,6 +30,7 @@
 NO_STATE = "the state service does not answer"
 USER_WAIT_S = 1.2  # users give up on a poll after 2 s
 GATE_WAIT_S = 1.0
+ADOPT_WAIT_S = 2.0
 COMMANDERS = 3
 ENDINGS = 3
 OWNER_WATCH_S = 0.1  # the owner learns of new jobs and cancellations by it
@@ -88,12 +89,14 @@
         self._verified = threading.Event()
         self._ready: dict[int, threading.Event] = {}
         self._rentals: queue.Queue[tuple[str, str, bool, int, str]] = queue.Queue(64)
-        self._deletions: queue.Queue[str] = queue.Queue(1000)
+        self._deletions: queue.Queue[str] = queue.Queue()  # each machine is in it once at the most
         self._rental_number = 0
         self._summary_keys = 0
         self._unreachable: set[str] = set()
         self.pulse = Pulse(clock)
-        self._born = self._listening = clock()  # since when workers' reports have been taken without a break
+        self._adopted = threading.Event()  # set, and replaced by another, whenever we have become owner
+        self._born = clock()
+        self._listening = self._born  # since when workers' reports have been taken without a break
         self._peer_heard = -1e18
         self._peers_served: dict[str, float] = {}  # when each last said that the state service serves it
         self._zones = zones
@@ -246,6 +249,8 @@
             read_at = self.mirror.revision
             attempt = self.mirror.with_ledger(lambda ledger: ledger.next_attempt)
             self.engine.adopt(self.mirror.open_jobs(), attempt, late, view.stamp, view.token)
+            adopted, self._adopted = self._adopted, threading.Event()
+            adopted.set()
             # Rows that came in while the records were being read were told to no owner: look again. What
             # the engine knows already is no news to it.
             for row in self.mirror.jobs_since(read_at):
@@ -562,10 +567,9 @@
     def _report_owned(self, report: workers.Report, arrival: float, after: float) -> Answer:
         engine = self.engine
         view = self.membership.view
-        for _ in range(20):
-            if engine.complete and engine.term == view.stamp:
-                break
-            self._pause(threading.Event(), 0.1)
+        adopted = self._adopted
+        if not engine.complete or engine.term != view.stamp:
+            self._pause(adopted, ADOPT_WAIT_S)
         if not engine.complete or engine.term != view.stamp:
             return 503, jobs.error("reading the records")
         if not self._sure_soon():
--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -54,7 +54,6 @@
                 if phase == "failed":
                     machine.quarantined = True
                     machine.draining = True
-                    machine.heard = min(machine.heard, now - 1e6)
             for machine in self.machines.values():
                 if machine.listed and machine.name not in names:
                     machine.missing += 1
