--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -461,6 +461,11 @@
         if job.cancelled:
             self._settle_job(job)
 
+    @property
+    def proven_at(self) -> float:
+        """A moment at which we were the owner: of the last verification, or of the map itself."""
+        return max(self.verified_at, self.owner_since)
+
     def unverified_limit(self) -> float:
         """How long an owner that can't reach the state service may go on answering reports.
 
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -194,19 +194,19 @@
         that goes on after a minute finds all its machines silent for a minute, and it is another's to say
         what that means. It once deleted the whole fleet.
         """
-        verified = max(self.engine.verified_at, self.engine.owner_since)
+        proven = self.engine.proven_at
         return (
             self.engine.owner
             and not self.membership.behind
-            and verified >= self.pulse.woke()
-            and self.clock() - verified <= self.engine.unverified_limit()
+            and proven >= self.pulse.woke()
+            and self.clock() - proven <= self.engine.unverified_limit()
         )
 
     def _sure_soon(self) -> bool:
         """The same, awaiting the verification that a standstill calls for, which takes a moment."""
         until = self.clock() + GATE_WAIT_S
         while not self._sure():
-            late = self.clock() - max(self.engine.verified_at, self.engine.owner_since)
+            late = self.clock() - self.engine.proven_at
             if late > self.engine.unverified_limit() or self.membership.behind or self.clock() >= until:
                 return False
             # One event for all: after a standstill the whole fleet's reports wait here at once.
--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -2,7 +2,7 @@
 
 import logging
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
 from bayford.coordination.rounds import Rounds
@@ -53,7 +53,6 @@
                     self._size(machine, kind)
                 if phase == "failed":
                     machine.quarantined = True
-                    machine.draining = True
             for machine in self.machines.values():
                 if machine.listed and machine.name not in names:
                     machine.missing += 1
@@ -71,17 +70,23 @@
             self._rentals(step, now, waiting)
         return step
 
+    def _fleet(self) -> Iterator[tuple[fleet.Option, Machine]]:
+        """The machines that count: neither on their way back nor at fault."""
+        for machine in self.machines.values():
+            if machine.type is None or machine.zone is None or machine.quarantined or machine.deleting:
+                continue
+            yield fleet.Option(machine.type, machine.zone, machine.spot), machine
+
     def _needs(self, now: float) -> list[fleet.Need]:
         needs = []
         room = {n: s.cpus_max - s.used_cpus for n, s in enumerate(self.shares)}
-        cpus = sum(m.cpus for m in self.machines.values() if not (m.deleting or m.quarantined))
-        cpus += sum(self.types[o.type].cpus * n for o, n in self.renting.items())
-        cheap = sum(m.cpus for m in self.machines.values() if m.spot and not (m.deleting or m.quarantined))
-        present: dict[fleet.Option, float] = {o: self.types[o.type].cpus * n for o, n in self.renting.items()}
-        for m in self.machines.values():
-            if m.type is not None and m.zone is not None and not (m.deleting or m.quarantined):
-                option = fleet.Option(m.type, m.zone, m.spot)
-                present[option] = present.get(option, 0.0) + m.cpus
+        present: dict[fleet.Option, float] = {}  # CPUs, first of what is there, then of what is coming too
+        for option, machine in self._fleet():
+            present[option] = present.get(option, 0.0) + machine.cpus
+        cheap = sum(cpus for option, cpus in present.items() if option.spot)
+        for option, count in self.renting.items():
+            present[option] = present.get(option, 0.0) + self.types[option.type].cpus * count
+        cpus = sum(present.values())
         keep_dear = False
         ahead = sum(0.5 * self.expected(j) * j.spec.cpus * len(j.open) for j in self.jobs.values())
         for _, job, count in self._queue(now, turns=False):
@@ -145,12 +150,9 @@
             return
         spare: dict[fleet.Option, int] = dict(self.renting)
         cpus = 0.0
-        for machine in self.machines.values():
-            if machine.type is None or machine.zone is None or machine.quarantined or machine.deleting:
-                continue
+        for option, machine in self._fleet():
             cpus += machine.cpus
             if not machine.reported:
-                option = fleet.Option(machine.type, machine.zone, machine.spot)
                 spare[option] = spare.get(option, 0) + 1
         for option, count in self.renting.items():
             cpus += self.types[option.type].cpus * count
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -180,7 +180,6 @@
     listed: bool = False
     missing: int = 0
     notice: float | None = None  # when the cloud takes it
-    draining: bool = False
     quarantined: bool = False
     deleting: bool = False
     failed_jobs: dict[str, int] = field(default_factory=dict)
@@ -202,7 +201,7 @@
         return (
             self.echoed
             and self.type is not None
-            and not (self.draining or self.quarantined or self.deleting)
+            and not (self.quarantined or self.deleting)
             and self.notice is None
         )
 
