--- a/bayford/config.py
+++ b/bayford/config.py
@@ -52,6 +52,15 @@
     cancel_s: float
 
 
+class NextState(msgspec.Struct, frozen=True):
+    """Limits that the state service will have from some moment on, without notice. What is absent stays."""
+
+    rps: float | None = None
+    write_rps: float | None = None
+    value_kb: float | None = None
+    txn_ops: int | None = None
+
+
 class State(msgspec.Struct, frozen=True):
     """Limits of the state service."""
 
@@ -59,6 +68,7 @@
     write_rps: float
     value_kb: float
     txn_ops: int
+    next: NextState | None = None
 
 
 class Cloud(msgspec.Struct, frozen=True):
@@ -135,6 +145,9 @@
         "state.txn_ops": facts.state.txn_ops,
         "cloud.rps": facts.cloud.rps,
     }
+    if facts.state.next is not None:
+        coming = msgspec.structs.asdict(facts.state.next)
+        positive |= {f"state.next.{name}": value for name, value in coming.items() if value is not None}
     for field, value in positive.items():
         if not value > 0:
             raise SettingsError(f"`$.facts.{field}`: must be above 0, is {value}")
--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -12,6 +12,7 @@
 
 from bayford.config import Settings
 from bayford.coordination import estimate
+from bayford.coordination.limits import Limits
 from bayford.protocol import workers
 from bayford.scheduling import fleet
 from bayford.scheduling.model import (
@@ -20,6 +21,7 @@
     SERVICE_RUN_S,
     URGENT,
     Job,
+    JobSpec,
     Machine,
     MachineType,
     Names,
@@ -77,7 +79,7 @@
         self.images = Names()
         self.classes = Names()
         self.types: list[MachineType] = []
-        self.value_bytes = int(facts.state.value_kb * 1024)
+        self.limits = Limits(facts.state)
         self.estimates = estimate.Estimates()
         # Called under the lock, so they must be short and take no lock of ours.
         self.on_ready: Callable[[int], None] = lambda machine: None
@@ -91,6 +93,8 @@
             for o in facts.objectives
             if o.kind == "finished" and o.job_class is not None and o.within_s is not None
         }
+        # Whether the users have aims for services: they will come.
+        self.stands_expected = any(o.kind == "up" for o in facts.objectives)
         self._clear()
 
     def _clear(self) -> None:
@@ -122,6 +126,8 @@
         self.late_picture: dict[str, list[str]] = {}
         self.renting: dict[fleet.Option, int] = {}
         self.urgent_jobs: list[tuple[float, float]] = []  # when accepted, CPUs
+        self.standing_jobs: list[tuple[float, JobSpec]] = []  # services accepted lately, and when
+        self.standing: set[int] = set()  # ordinary machines that are kept for services
         self.refusals = 0
         self.starts = 0
         self.balanced_at = -1e18
@@ -309,8 +315,13 @@
     def _fill(self, ledger: Ledger, ops: int) -> Batch:
         batch = Batch(self.term, {records.MAP: self.term})
         tail = ledger.dead_before()
-        makers = [RowMaker(ledger, ledger.next, tail, self.next_attempt)]
-        rows = max(1, min(ops, TRANSACTION_BYTES // self.value_bytes))
+        row_bytes = self.limits.value_bytes
+
+        def maker(n: int) -> RowMaker:
+            return RowMaker(ledger, ledger.next + n, tail, self.next_attempt, row_bytes)
+
+        makers = [maker(0)]
+        rows = max(1, min(ops, TRANSACTION_BYTES // row_bytes))
         names = [n for n in self.dirty if self.jobs[n].spec.priority >= URGENT]
         names += [n for n in self.dirty if self.jobs[n].spec.priority < URGENT]
         for name in names:
@@ -322,7 +333,7 @@
                 if not makers[-1].room(name, machine):
                     if len(makers) >= rows:
                         break
-                    makers.append(RowMaker(ledger, ledger.next + len(makers), tail, self.next_attempt))
+                    makers.append(maker(len(makers)))
                 taken.add(task)
                 if place is not None:
                     makers[-1].opened(name, task, place.attempt, machine, place.session)
@@ -341,14 +352,20 @@
                 continue  # some of its changes had no room: not before they are written
             if not job.cancelled:
                 final = records.Record(job.spec, job.created_wall, 0.0, True, len(job.done))
+                value = records.fitted(final, row_bytes)
+                if records.size(value) > row_bytes:
+                    # It would have every transaction refused that it is part of, and nobody's work go on.
+                    log.error("job %s: done, but its record does not fit into %d bytes", name, row_bytes)
+                    del self.ending[name]
+                    continue
                 batch.conditions[records.key(name)] = job.stamp
-                batch.puts.append(Put(records.key(name), records.encode(final)))
+                batch.puts.append(Put(records.key(name), value))
             makers[-1].over(name)
             batch.over.append(name)
-        makers[0].snapshots()
-        for maker, (slot, stamp) in zip(makers, ledger.slots(len(makers)), strict=True):
+        makers[0].snapshots(batch.tasks)
+        for row, (slot, stamp) in zip(makers, ledger.slots(len(makers)), strict=True):
             batch.conditions[slot] = stamp
-            batch.puts.append(Put(slot, maker.finish()))
+            batch.puts.append(Put(slot, row.finish()))
         for name, tasks in batch.tasks.items():
             left = self.dirty[name] - tasks
             if left:
@@ -406,6 +423,7 @@
         job.cancel_known = now
         job.cancelled_at = now - max(0.0, self.wall() - wall_at)
         job.waiting.clear()
+        job.resting.clear()
         log.info("job %s cancelled, %d tasks to stop", job.spec.id, len(job.open))
         for place in job.open.values():
             self._halt(place, 0.0)
@@ -431,7 +449,9 @@
             job = self.jobs.get(spec.id)
             if job is None:
                 if not record.over and self._load(record, stamp, self.clock()) is not None:
-                    if spec.priority >= URGENT:
+                    if spec.shape == SERVICE:
+                        self.standing_jobs.append((self.clock(), spec))
+                    elif spec.priority >= URGENT:
                         self.urgent_jobs = self.urgent_jobs[-20:] + [(self.clock(), spec.cpus * spec.tasks)]
                     log.info("job %s accepted: %d tasks", spec.id, spec.tasks)
                 return
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -18,10 +18,10 @@
 from bayford.coordination.renting import FleetStep
 from bayford.protocol import jobs, mesh, workers
 from bayford.protocol.cloud_api import Cloud, CloudBusy, NoCapacity
-from bayford.scheduling.model import JobSpec
+from bayford.scheduling.model import ARRAY, JobSpec
 from bayford.storage import records, summary
 from bayford.storage.mirror import Mirror
-from bayford.storage.store import LeaseGone, Put, Row, Store, Unavailable, Unknown
+from bayford.storage.store import LeaseGone, Put, Row, Store, TooLarge, Unavailable, Unknown
 
 log = logging.getLogger("bayford.controller")
 
@@ -37,7 +37,9 @@
 WATCH_SHARE = 4.0  # in requests: all the watches together take a quarter of the limit at the most
 COMMIT_GAP_S = 0.05  # between two transactions, that the next one carries more
 SERVED_S = 3.0
+SETTLED_S = 4.0  # after its start, or an attempt, before a controller takes over from an older release
 ISOLATED_S = 4.0  # longer than a member's lease
+FINAL_BYTES = 64  # what a record may grow by until it is final
 TELL_S = 15.0  # how often the log says who waits and why
 SUMMARY_OLD_S = 180.0  # an older summary says nothing about the machines of now
 
@@ -72,15 +74,20 @@
         self.clock = clock
         self.wall = wall
         self.name = settings.member
-        self.mirror = Mirror(store, engine.value_bytes, self._on_rows, threaded)
+        self.limits = engine.limits
+        self.mirror = Mirror(store, self.limits.layout_bytes, self._on_rows, threaded)
         teams = [t.name for t in settings.facts.teams]
         zones = {peer.member: peer.site for peer in settings.seeds} | {self.name: settings.site}
-        self.membership = Membership(store, self.mirror, self.name, incarnation, teams, clock, zones)
-        self.relay = relaying.Relay(self.name, self.mirror, engine.value_bytes, clock, wall)
-        state = settings.facts.state
+        self._releases: dict[str, int] = {}  # of the other controllers, as each last said
+        self.membership = Membership(
+            store, self.mirror, self.name, incarnation, teams, clock, zones, limits=self.limits,
+            elders=self.elders,
+        )  # fmt: skip
+        self.relay = relaying.Relay(self.name, self.mirror, self.limits, clock, wall)
+        rate = self.limits.write_rps * 0.7
         # One change carries what has happened in a tenth of a second; the rest is left to the other
         # controllers' submissions, each a change of its own.
-        self.writes = Budget(state.write_rps * 0.7, max(float(state.txn_ops), state.write_rps * 0.7), clock)
+        self.writes = Budget(rate, max(float(self.limits.txn_ops), rate), clock)
         cloud_rps = settings.facts.cloud.rps
         self.calls = Budget(cloud_rps * 0.8, max(1.0, cloud_rps), clock)  # only the owner calls much
         self._kick = threading.Event()
@@ -96,6 +103,7 @@
         self.pulse = Pulse(clock)
         self._adopted = threading.Event()  # set, and replaced by another, whenever we have become owner
         self._born = clock()
+        self._succeeded = self._born
         self._listening = self._born  # since when workers' reports have been taken without a break
         self._peer_heard = -1e18
         self._peers_served: dict[str, float] = {}  # when each last said that the state service serves it
@@ -166,7 +174,7 @@
         for name, step in loops:
             threading.Thread(target=self._loop, args=(name, step), name=name, daemon=True).start()
         # All controllers read; together they must stay well below the state service's limit.
-        gap = max(0.02, 1.8 * self.settings.facts.nodes / self.settings.facts.state.rps)
+        gap = max(0.02, 1.8 * self.settings.facts.nodes / self.limits.rps)
         threading.Thread(target=self.mirror.serve, args=(gap,), name="fresh", daemon=True).start()
 
     def _loop(self, name: str, step: Callable[[], float]) -> None:
@@ -221,17 +229,50 @@
         # Every change of the store ends every controller's watch, and a new one is a request under the limit
         # that all share: unbounded, ten commits a second would be most of what it allows. Whoever needs to
         # know more exactly reads.
-        state = self.settings.facts.state
         if self.engine.owner:
             return OWNER_WATCH_S
-        return max(0.05, WATCH_SHARE * self.settings.facts.nodes / state.rps)
+        return max(0.05, WATCH_SHARE * self.settings.facts.nodes / self.limits.rps)
 
     def _member_step(self) -> float:
         self.membership.step()
+        self._succeed()
         self._settle(adopt=True)
+        self._lay_out()
         self._publish()
         return 0.15
 
+    def elders(self) -> set[str]:
+        """The other controllers that run an older release than this one."""
+        return {name for name, release in self._releases.items() if release < mesh.RELEASE}
+
+    def _succeed(self) -> None:
+        """In an upgrade, take over from an older owner before it is killed: no lease has to run out for it,
+        and no second takeover is needed. Only where nothing else is amiss: everybody in reach, the state
+        service too."""
+        now = self.clock()
+        if (
+            now - self._born >= SETTLED_S
+            and now - self._succeeded >= SETTLED_S
+            and self._served()
+            and not self._unreachable & set(self.membership.live())
+            and self.membership.succeed()
+        ):
+            self._succeeded = now
+            log.info("taking over from %s, which runs an older release", self.membership.view.owner)
+            self.mirror.pull(0.0)
+            self.membership.claim(self.name)
+
+    def _lay_out(self) -> None:
+        """Write down, once and for all, what the ledger is laid out for: settings with the limits to come
+        must not change how it is read."""
+        term = self.engine.term
+        if self.engine.owner and self.mirror.get(records.LAYOUT) is None:
+            value = {"value_bytes": self.limits.layout_bytes}
+            put = Put(records.LAYOUT, value)
+            outcome = self.store.commit({records.MAP: term, records.LAYOUT: 0}, [put])
+            if outcome.applied:
+                self.mirror.apply([Row(records.LAYOUT, value, outcome.revision)])
+
     def _settle(self, adopt: bool = False) -> None:
         """Make the engine follow the map. Only the member thread adopts: two adoptions at a time could put
         records read before the first one's placements in place of what it has decided since."""
@@ -263,14 +304,26 @@
         puts = self.relay.publish()
         if not puts:
             return
-        step = self.settings.facts.state.txn_ops
         try:
-            for at in range(0, len(puts), step):
-                self.store.commit({}, puts[at : at + step])
+            self._put_all(puts)
         except (Unavailable, Unknown):
             self.relay.not_published()
             raise
 
+    def _put_all(self, puts: list[Put], step: int = 1000) -> None:
+        """Writes that need not be one: what is refused for its size must not keep the rest from being
+        written."""
+        step = min(step, self.limits.txn_ops)
+        for at in range(0, len(puts), step):
+            some = puts[at : at + step]
+            try:
+                self.store.commit({}, some)
+            except TooLarge as bad:
+                if len(some) > 1:
+                    self._put_all(some, len(some) // 2)
+                else:
+                    log.error("%s is not written: %s", some[0].key, bad)
+
     def _commit_step(self) -> float:
         """Group commit: what is dirty goes out, the most urgent first, within the rate of writes."""
         self._commit.wait(0.25)
@@ -279,13 +332,13 @@
 
     def commit_once(self) -> float:
         """One transaction, or a comparison of the map if that is wanted and nothing is dirty."""
-        state = self.settings.facts.state
+        ops = self.limits.txn_ops
         # A row, and a record of each job that is complete: these must not wait for a burst to be saved up.
-        wanted = min(state.txn_ops, 1 + min(ENDINGS, self.engine.endings()))
+        wanted = min(ops, 1 + min(ENDINGS, self.engine.endings()))
         if self.engine.has_news() and self.writes.available() < wanted:
             self._commit.set()
             return self.writes.wait_s(wanted)
-        batch = self.engine.take_batch(min(state.txn_ops, int(self.writes.available())))
+        batch = self.engine.take_batch(min(ops, int(self.writes.available())))
         if batch is None:
             self._verify_step(self.engine.term)
             return 0.0
@@ -300,6 +353,11 @@
         began = self.clock()
         try:
             outcome = self.store.commit(batch.conditions, batch.puts)
+        except TooLarge:
+            # The same once more would be refused once more, and nothing would ever be written again.
+            self.engine.not_committed(batch)
+            self.limits.too_large(len(batch.puts), max(records.size(p.value) for p in batch.puts))
+            return
         except Unavailable as bad:
             self.engine.not_committed(batch)
             self.writes.drain()
@@ -466,12 +524,13 @@
         """Write the summary; not conditional on the map, since it decides nothing."""
         picture = self.engine.summary()
         if picture and self._sure():
-            bytes_ = self.engine.value_bytes
-            puts = summary.encode(self.name, self.wall(), picture, bytes_, self._summary_keys)
+            puts = summary.encode(
+                self.name, self.wall(), picture, self.limits.value_bytes, self._summary_keys
+            )
             self._summary_keys = sum(put.value is not None for put in puts)
             for at in range(0, len(puts), 4):
                 self.writes.take(len(puts[at : at + 4]))
-                self.store.commit({}, puts[at : at + 4])
+                self._put_all(puts[at : at + 4])
         return max(1.0, self.engine.policy.summary_every_s)
 
     def _tell_step(self) -> float:
@@ -497,6 +556,7 @@
                 continue
             self._unreachable.discard(name)
             self._peer_heard = self.clock()
+            self._note_release(name, status.release)
             self.membership.heard(status.token)
             if status.served:
                 self._peers_served[name] = self.clock()
@@ -505,10 +565,18 @@
             self._settle()
         return 1.0
 
+    def _note_release(self, name: str, release: int) -> None:
+        if self._releases.get(name) == release:
+            return
+        self._releases[name] = release
+        log.info("%s runs release %d, this is %d", name, release, mesh.RELEASE)
+        if len(self._releases) == len(self.peers) and set(self._releases.values()) == {mesh.RELEASE}:
+            log.info("all %d controllers run release %d", len(self.peers) + 1, mesh.RELEASE)
+
     def status(self) -> mesh.Status:
         """What peers are told."""
         view = self.membership.view
-        return mesh.Status(self.name, view.token, view.owner, self._served())
+        return mesh.Status(self.name, view.token, view.owner, self._served(), mesh.RELEASE)
 
     def _served(self) -> bool:
         """Whether the state service has done what this node asked, lately."""
@@ -640,9 +708,13 @@
 
     def _store(self, record: records.Record, stamp: int) -> bool:
         """Write a user's change of a record that stands at `stamp`; False if it has changed since."""
-        key, value = records.key(record.spec.id), records.encode(record)
+        key = records.key(record.spec.id)
+        value = records.fitted(record, self.limits.value_bytes) if record.over else records.encode(record)
         try:
             outcome = self.store.commit({key: stamp}, [Put(key, value)])
+        except TooLarge as bad:
+            log.error("job %s: %s", record.spec.id, bad)
+            raise
         except (Unavailable, Unknown, LeaseGone) as bad:
             raise Unavailable(NO_STATE) from bad
         if outcome.applied:
@@ -667,8 +739,15 @@
             if refusal is not None:
                 return refusal
             record = records.Record(self._trimmed(spec), round(self.wall(), 2))
-            if self._store(record, 0):
-                return 201, jobs.answer(records.State(record, 0))
+            takes, most = records.size(records.encode(record)) + FINAL_BYTES, self.limits.value_bytes
+            too_large = 400, jobs.error(f"`$`: the job's description takes {takes} bytes, more than {most}")
+            if takes > most:
+                return too_large
+            try:
+                if self._store(record, 0):
+                    return 201, jobs.answer(records.State(record, 0))
+            except TooLarge:
+                return too_large
         return 503, jobs.error("try again")
 
     def _trimmed(self, spec: JobSpec) -> JobSpec:
@@ -686,15 +765,17 @@
         if team is None:
             return 422, jobs.error(f"unknown team {spec.team}")
         if not self.engine.shares[team].could_ever(spec):
-            return 422, jobs.error(f"one task needs more than the limit of team {spec.team}")
+            return 422, jobs.error(f"it needs more than the limit of team {spec.team}")
+        zones: set[str] = set()
         for kind in types:
-            if spec.types is not None and kind.name not in spec.types:
-                continue
-            if spec.zone is not None and spec.zone not in kind.zones:
-                continue
-            if kind.fits(spec):
-                return None
-        return 422, jobs.error("a task fits no allowed machine type")
+            if (spec.types is None or kind.name in spec.types) and kind.fits(spec):
+                zones.update(z for z in kind.zones if spec.zone in (None, z))
+        if not zones:
+            return 422, jobs.error("a task fits no allowed machine type")
+        if spec.shape != ARRAY and spec.spread and spec.tasks > 1 and (spec.one_zone or len(zones) < 2):
+            # An array's tasks may follow one another; these must all be there at a time.
+            return 422, jobs.error("its tasks can't be apart: there is one zone for them")
+        return None
 
     def query(self, job_id: str) -> Answer:
         """A job's state, never older than what anybody was told."""
--- a/bayford/coordination/membership.py
+++ b/bayford/coordination/membership.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from bayford.coordination.limits import Limits
 from bayford.storage import records
 from bayford.storage.mirror import Mirror
 from bayford.storage.store import LeaseGone, Put, Row, Store, Unavailable, Unknown
@@ -70,9 +71,15 @@
         teams: list[str],
         clock: Callable[[], float],
         zones: dict[str, str] | None = None,
+        *,
+        limits: Limits,
+        elders: Callable[[], set[str]] = set,
     ) -> None:
-        """`zones`: where each controller, itself included, stands."""
+        """`zones`: where each controller, itself included, stands. `elders`: those in reach that run an older
+        release than ours."""
+        self._elders = elders
         self._zones = zones or {}
+        self._limits = limits
         self._store = store
         self._mirror = mirror
         self.name = name
@@ -136,7 +143,10 @@
         if self._orphaned():
             if self._orphan_since is None:
                 self._orphan_since = now
-            delay = sorted(self.live()).index(self.name) * STAGGER_S
+            # In an upgrade the older ones are still to go: who is new already comes first.
+            elders = self._elders()
+            order = sorted(self.live(), key=lambda name: (name in elders, name))
+            delay = order.index(self.name) * STAGGER_S
             if lonely(self.name, self._zones):
                 delay += LONELY_S
             if now - self._orphan_since >= delay:
@@ -144,6 +154,19 @@
         else:
             self._orphan_since = None
 
+    def succeed(self) -> bool:
+        """Whether to take over from an owner that lives: it runs an older release, so an upgrade is on and
+        it is to be killed without notice, which would cost its lease. Of those who are new the first by name
+        does."""
+        elders = self._elders()
+        live = self.live()
+        return (
+            self.view.owner in elders
+            and self.is_live(self.view.owner, self.view.incarnation)
+            and self.is_live(self.name, self.incarnation)
+            and self.name == min((n for n in live if n not in elders), default="")
+        )
+
     def _orphaned(self) -> bool:
         if self._mirror.revision < 0 or not self.is_live(self.name, self.incarnation):
             return False
@@ -202,7 +225,14 @@
         before = row.value["owners"] if row is not None else {}
         kept = {t: o for t, o in before.items() if live.get(o) == view.incarnation and o != view.owner}
         owners = assign(self._teams, sorted(live), kept, owner)
-        value = {"token": max(view.token, self._heard_token) + 1, "owners": owners, "members": live}
+        value: dict[str, Any] = {
+            "token": max(view.token, self._heard_token) + 1, "owners": owners, "members": live
+        }  # fmt: skip
+        if records.size(value) > self._limits.value_bytes:
+            # With many teams and controllers it may not fit any more. All teams have one owner: its name with
+            # one of them, and its incarnation, is all that any version reads.
+            value["owners"] = dict(list(owners.items())[:1])
+            value["members"] = {name: live[name] for name in value["owners"].values()}
         try:
             outcome = self._store.commit({records.MAP: view.stamp}, [Put(records.MAP, value)])
         except (Unavailable, Unknown, LeaseGone) as bad:
--- a/bayford/coordination/relay.py
+++ b/bayford/coordination/relay.py
@@ -10,6 +10,7 @@
 import threading
 from collections.abc import Callable
 
+from bayford.coordination.limits import Limits
 from bayford.protocol import mesh, workers
 from bayford.storage import records
 from bayford.storage.mirror import Mirror
@@ -33,14 +34,14 @@
         self,
         name: str,
         mirror: Mirror,
-        value_bytes: int,
+        limits: Limits,
         clock: Callable[[], float],
         wall: Callable[[], float],
     ) -> None:
         self._wall = wall
         self._name = name
         self._mirror = mirror
-        self._value_bytes = value_bytes
+        self._limits = limits
         self._clock = clock
         self._lock = threading.Lock()
         self._latest: dict[str, tuple[int, int]] = {}  # session and tick last seen here
@@ -135,7 +136,7 @@
             self._published = now
             self._changed = False
             reports = [report for _, report in self._reports.values()]
-        texts = mesh.pack_reports(reports, self._value_bytes - 64)
+        texts = mesh.pack_reports(reports, self._limits.value_bytes - 64)
         at = round(self._wall(), 1)
         puts = [Put(self._key(n), {"at": at, "reports": text}) for n, text in enumerate(texts)]
         puts += [Put(self._key(n), None) for n in range(len(texts), self._keys)]
--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -5,11 +5,14 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
+from bayford.coordination.reports import RUNS_S
 from bayford.coordination.rounds import Rounds
 from bayford.scheduling import fleet
 from bayford.scheduling.model import (
     EPS,
     URGENT,
+    Job,
+    JobSpec,
     Machine,
 )
 
@@ -66,8 +69,10 @@
                 return step
             now = self.clock()
             waiting = self._needs(now)
+            groups = self._standing_groups(now)
+            self.standing = self._kept_for_services(groups)
             self._deletions(step, now, waiting, listening)
-            self._rentals(step, now, waiting)
+            self._rentals(step, now, waiting, groups)
         return step
 
     def _fleet(self) -> Iterator[tuple[fleet.Option, Machine]]:
@@ -79,6 +84,7 @@
 
     def _needs(self, now: float) -> list[fleet.Need]:
         needs = []
+        yields = self._yields()
         room = {n: s.cpus_max - s.used_cpus for n, s in enumerate(self.shares)}
         present: dict[fleet.Option, float] = {}  # CPUs, first of what is there, then of what is coming too
         for option, machine in self._fleet():
@@ -86,35 +92,30 @@
         cheap = sum(cpus for option, cpus in present.items() if option.spot)
         for option, count in self.renting.items():
             present[option] = present.get(option, 0.0) + self.types[option.type].cpus * count
-        cpus = sum(present.values())
+        # What services hold is not there for work that ends, and what they need is no backlog.
+        cpus = sum(present.values()) - sum(
+            j.spec.cpus * len(j.open) for j in self.jobs.values() if j.standing
+        )
         keep_dear = False
-        ahead = sum(0.5 * self.expected(j) * j.spec.cpus * len(j.open) for j in self.jobs.values())
+        ahead = sum(
+            0.5 * self.expected(j) * j.spec.cpus * len(j.open) for j in self.jobs.values() if not j.standing
+        )
         for _, job, count in self._queue(now, turns=False):
             if job.spec.cpus > 0:
                 count = min(count, int((room[job.team] + EPS) / job.spec.cpus))
             room[job.team] -= count * job.spec.cpus
             if count <= 0:
                 continue
-            options = set()
-            for index, kind in enumerate(self.types):
-                if not kind.zones or not kind.fits(job.spec):
-                    continue
-                if job.types is not None and index not in job.types:
-                    continue
-                for zone_name in kind.zones:
-                    zone = self.zones.index(zone_name)
-                    if job.zone is not None and zone != job.zone:
-                        continue
-                    options.add(fleet.Option(index, zone, False))
-                    if job.spec.spot:
-                        options.add(fleet.Option(index, zone, True))
+            options = self._options(job)
             hosts = sum(present.get(o, 0.0) for o in options)
             cheap_hosts = sum(present.get(o, 0.0) for o in options if o.spot)
             job.cheap_hosts = cheap_hosts > 0
             run = self.expected(job)
-            ahead += count * job.spec.cpus * run
             dear = 0
-            target = job.spec.deadline_s or self.targets.get(job.spec.job_class)
+            target = None
+            if not job.standing:
+                ahead += count * job.spec.cpus * run
+                target = job.spec.deadline_s or self.targets.get(job.spec.job_class)
             if target is not None:
                 # Dear machines only where they still make the difference, and only as many as that takes.
                 age = now - job.created
@@ -126,24 +127,130 @@
                     lacking = ahead / spare - cpus
                     dear = min(count, max(0, math.ceil(lacking / max(job.spec.cpus, 0.1))))
                     cpus += dear * job.spec.cpus
+            urgent = job.spec.priority >= URGENT
             needs.append(
                 fleet.Need(
-                    frozenset(options),
+                    options,
                     count,
                     job.spec.cpus,
                     job.spec.gpus,
                     job.spec.mem_gb,
                     run,
-                    job.spec.priority >= URGENT,
+                    urgent,
                     dear,
                     hosts,
                     cheap_hosts,
+                    self._yielded(yields, options, count * job.spec.cpus) if urgent else 0.0,
+                    job.standing,
                 )  # fmt: skip
             )
         self.dear_serves = keep_dear or not cheap
         return needs
 
-    def _rentals(self, step: FleetStep, now: float, needs: list[fleet.Need]) -> None:
+    def _options(self, job: Job) -> frozenset[fleet.Option]:
+        """The kinds of machine that may serve the job."""
+        options = set()
+        for index, kind in enumerate(self.types):
+            if not kind.zones or not kind.fits(job.spec):
+                continue
+            if job.types is not None and index not in job.types:
+                continue
+            for zone_name in kind.zones:
+                zone = self.zones.index(zone_name)
+                if job.zone is not None and zone != job.zone:
+                    continue
+                options.add(fleet.Option(index, zone, False))
+                if job.spec.spot:
+                    options.add(fleet.Option(index, zone, True))
+        return frozenset(options)
+
+    def _yields(self) -> dict[fleet.Option, float]:
+        """CPUs that urgent work may have by kind of machine: all that it does not hold already, what is on
+        its way included."""
+        out: dict[fleet.Option, float] = {}
+        for option, machine in self._fleet():
+            held = sum(p.job.spec.cpus for p in machine.open.values() if p.job.spec.priority >= URGENT)
+            out[option] = out.get(option, 0.0) + machine.cpus - held
+        for option, count in self.renting.items():
+            out[option] = out.get(option, 0.0) + self.types[option.type].cpus * count
+        return out
+
+    @staticmethod
+    def _yielded(yields: dict[fleet.Option, float], options: frozenset[fleet.Option], cpus: float) -> float:
+        """Take up to `cpus` of what the kinds in `options` yield; how much that was. The cheap ones first,
+        since some work may have no others than the ordinary ones."""
+        got = 0.0
+        for option in sorted(options, key=lambda o: (not o.spot, o.type, o.zone)):
+            part = min(cpus - got, max(0.0, yields.get(option, 0.0)))
+            if part > 0:
+                yields[option] -= part
+                got += part
+        return got
+
+    def _standing_groups(self, now: float) -> list[fleet.Group]:
+        """What is standing, by the kinds of machine that may serve it, with the reserve for what comes next.
+
+        Services of ordinary machines alone: these boot in longer than a service may be away, so their room
+        has to be up before it is needed. It is not idle meanwhile: other work runs there and makes way at
+        once. The reserve grows with what stands and with what was accepted lately, which is the pace at
+        which it grows; where the users' aims name services and none has come yet, there is a floor.
+        """
+        sizes: dict[frozenset[fleet.Option], dict[int, float]] = {}
+
+        def count(options: frozenset[fleet.Option], spec: JobSpec, tasks: float) -> None:
+            if not options or any(option.spot for option in options):
+                return  # what cheap machines may serve is served by the fleet that is there anyhow
+            need = sizes.setdefault(options, {})
+            for index in {option.type for option in options}:
+                kind = self.types[index]
+                per = fleet.slots(kind, spec.cpus, spec.gpus, spec.mem_gb)
+                need[index] = need.get(index, 0.0) + tasks / max(1, per)
+
+        known = []
+        for job in self.jobs.values():
+            if job.standing and not job.cancelled:
+                known.append(self._options(job))
+                count(known[-1], job.spec, job.spec.tasks * (1.0 + self.policy.standing_share))
+        since = now - self.policy.standing_memory_s
+        self.standing_jobs = [entry for entry in self.standing_jobs if entry[0] > since]
+        for _, spec in self.standing_jobs:
+            lately = self.jobs.get(spec.id)
+            if lately is not None:
+                count(self._options(lately), spec, spec.tasks)
+        if self.stands_expected or known:
+            ordinary = frozenset(
+                fleet.Option(index, self.zones.index(zone), False)
+                for index, kind in enumerate(self.types)
+                for zone in kind.zones
+            )
+            options = max(known, key=len, default=ordinary)
+            if options and not any(option.spot for option in options):
+                need = sizes.setdefault(options, {})
+                for index in {option.type for option in options}:
+                    floor = self.policy.standing_floor / max(1.0, self.types[index].cpus)
+                    need[index] = need.get(index, 0.0) + floor
+        return [fleet.Group(options, need) for options, need in sizes.items()]
+
+    def _kept_for_services(self, groups: list[fleet.Group]) -> set[int]:
+        """The ordinary machines that the standing services and their reserve need: those with the most
+        replicas first, so that none has to move for another to go back."""
+        kept: set[int] = set()
+        if not groups:
+            return kept
+        machines = [(option, m) for option, m in self._fleet() if not option.spot]
+        replicas = {m.index: sum(p.job.standing for p in m.open.values()) for _, m in machines}
+        machines.sort(key=lambda entry: (-replicas[entry[1].index], -len(entry[1].open), entry[1].index))
+        for group in groups:
+            share = 0.0
+            for option, machine in machines:
+                if option in group.options and (share < 1.0 or replicas[machine.index]):
+                    share += 1.0 / group.machines[option.type]
+                    kept.add(machine.index)
+        return kept
+
+    def _rentals(
+        self, step: FleetStep, now: float, needs: list[fleet.Need], groups: list[fleet.Group]
+    ) -> None:
         lag = self.settings.facts.cloud.list_lag_s if self.inherited else 0.0
         if self.listed_at < self.owner_since + lag:
             # What the owner before us rented a moment ago is in no list yet: renting now would rent it twice.
@@ -156,11 +263,17 @@
                 spare[option] = spare.get(option, 0) + 1
         for option, count in self.renting.items():
             cpus += self.types[option.type].cpus * count
-        held = sum(p.spec.cpus * len(p.open) for p in self.jobs.values() if p.spec.priority >= URGENT)
-        work = sum(n.tasks * n.cpus * n.run_s for n in needs)
+        work = sum(n.tasks * n.cpus * n.run_s for n in needs if not n.standing)
         busy = work / cpus if cpus else (1e9 if work else 0.0)
         refused = frozenset(o for o, until in self.refused.items() if until > now)
-        for rental in fleet.wanted(
+        fleet_now: dict[fleet.Option, int] = dict(self.renting)
+        for option, machine in self._fleet():
+            if machine.notice is None:
+                fleet_now[option] = fleet_now.get(option, 0) + 1
+        rentals = fleet.for_services(groups, self.types, fleet_now, refused)
+        for rental in rentals:
+            spare[rental.option] = spare.get(rental.option, 0) + rental.count
+        rentals += fleet.wanted(
             needs,
             self.types,
             spare,
@@ -168,8 +281,8 @@
             busy,
             self.policy.ordinary_after_s,
             self.policy.patience_s,
-            cpus - held,
-        ):
+        )
+        for rental in rentals:
             option = rental.option
             self._asked_for(option, rental.count)
             kind, zone = self.types_by[option.type], self.zones[option.zone]
@@ -241,7 +354,7 @@
                     why = "gone from the cloud's list"
                 elif quiet > (silent if machine.reported else unheard):
                     why = f"silent for {quiet:.0f} s"
-                elif machine.quarantined:
+                elif machine.quarantined and not self._serves(machine, now):
                     why = "quarantined"
                 elif machine.notice is not None and not machine.open:
                     why = "to be taken by the cloud, empty"
@@ -259,8 +372,16 @@
                 step.deletions.append((machine.name, why))
                 log.info("deleting machine %s: %s, %d tasks there", machine.name, why, len(machine.open))
 
+    def _serves(self, machine: Machine, now: float) -> bool:
+        """Whether replicas of services run on this machine all the same. It fails what it starts; to delete
+        it for that would end what runs, and a replica started elsewhere is away meanwhile."""
+        return not machine.deaf and any(
+            p.job.standing and p.running_since is not None and now - p.running_since > RUNS_S
+            for p in machine.open.values()
+        )
+
     def _idle(self, machine: Machine, now: float, needs: list[fleet.Need], spare: float) -> bool:
-        if machine.type is None or machine.idle_since <= 0:
+        if machine.type is None or machine.idle_since <= 0 or machine.index in self.standing:
             return False
         waiting = bool(needs) and (machine.spot or self.dear_serves)
         keep = self.policy.keep_idle_s if spare <= self.reserve(now) else self.policy.surplus_idle_s
--- a/bayford/coordination/reports.py
+++ b/bayford/coordination/reports.py
@@ -12,6 +12,8 @@
 DEAF_ANSWERS = 3  # so many answers in a row of which nothing shows
 DEAF_LAPSES = 2
 RUNS_S = 5.0  # a task that has run for so long is no failure
+STEADY_S = 30.0  # a replica of a service that ran for so long begins anew
+REST_S = 30.0  # and one that ends at every start waits for so long at the most
 
 
 class Reports(Books):
@@ -123,7 +125,7 @@
         doubted = sum(m.unheeded > 0 or m.lapses > 0 for m in self.machines.values())
         if machine.quarantined or doubted > max(3, others // 4):
             return  # so many at a time: the fault is ours, or the network's
-        machine.quarantined = True
+        machine.quarantined = machine.deaf = True
         log.error("machine %s does not hear us: %s", machine.name, why)
 
     def _on_task(self, machine: Machine, place: Placement, state: workers.TaskState, now: float) -> None:
@@ -153,7 +155,10 @@
             return
         if job.cancelled:
             return
-        job.requeue(place.task)
+        if job.standing and state.why in (workers.DONE, workers.ERROR):
+            self._rest(job, place, now)
+        else:
+            job.requeue(place.task)
         if job.spec.shape == GANG:
             # One task down, the gang is down: stop the others, so that all can come together again.
             for other in job.open.values():
@@ -161,8 +166,7 @@
                     self._halt(other, job.spec.save_s * 1.5)
         if state.why in (workers.HALTED, workers.PEERS, workers.ALONE):
             return
-        if state.why == workers.DONE:  # a service's replica: start it again, but not in a spin
-            job.not_before = max(job.not_before, now + 1.0)
+        if state.why == workers.DONE:
             return
         if state.why == workers.FULL:
             # The late picture was wrong; wait for a newer report before trying this machine again.
@@ -179,6 +183,17 @@
                 self._hold_back(job, now, 2.0)
             job.not_before = max(job.not_before, now + 2.0)
 
+    def _rest(self, job: Job, place: Placement, now: float) -> None:
+        """A replica of a service has ended by itself: again at once, but one that ends again and again only
+        after a while, each time a longer one. The job's other replicas go on."""
+        ran = place.running_since is not None and now - place.running_since > STEADY_S
+        ends = 0 if ran else job.ends.get(place.task, 0)
+        job.ends[place.task] = ends + 1
+        if ends:
+            job.resting[place.task] = now + min(REST_S, 2.0 ** min(ends - 1, 10))
+        else:
+            job.requeue(place.task)
+
     def _hold_back(self, job: Job, now: float, first_s: float) -> float:
         """Try the job again only after a while, each time a longer one."""
         wait = min(60.0, first_s * 2.0 ** min(job.held_back, 5))
@@ -201,6 +216,9 @@
             p.running_since is not None and now - p.running_since > RUNS_S and p.machine not in job.failed_on
             for p in job.open.values()
         )
+        if len(job.failed_on) >= self.policy.job_fault_machines and not runs and job.standing:
+            job.failed_on.clear()  # its replicas rest, each by itself
+            return
         if len(job.failed_on) >= self.policy.job_fault_machines and not runs:
             wait = self._hold_back(job, now, 8.0)
             job.failed_on.clear()
--- a/bayford/coordination/rounds.py
+++ b/bayford/coordination/rounds.py
@@ -22,6 +22,7 @@
 
 KEEP_S = 4.0  # how long room that was made for a job is kept for it
 PREEMPT_EVERY_S = 0.25  # victims are looked for on all machines, so not in every round
+SECOND = 1e6  # what a second replica on a machine counts against it when victims are chosen
 PREEMPTING = 4  # jobs that room is made for at a time
 NO_ROOM = "no room on an allowed machine"
 
@@ -106,6 +107,8 @@
         out: list[tuple[tuple[float, ...], Job, int]] = []
         entitled = self._entitled()
         for job in self.jobs.values():
+            if job.resting:
+                job.wake(now)
             if not job.waiting or job.cancelled or job.not_before > now:
                 continue
             share = self.shares[job.team]
@@ -177,7 +180,10 @@
             return lines
 
     def _rank(self, job: Job, run: float, age: float) -> float:
-        """Work left, shrinking with age: small jobs first, yet none for ever last."""
+        """Work left, shrinking with age: small jobs first, yet none for ever last. Of services the one that
+        lacks the fewest replicas."""
+        if job.standing:
+            return len(job.waiting) / (1.0 + age / self.policy.aging_s)
         left = (len(job.waiting) + 0.5 * len(job.open)) * run * max(job.spec.cpus, 0.1)
         return left / (1.0 + age / self.policy.aging_s)
 
@@ -192,10 +198,13 @@
         machines = placement.candidates(job, roomy, counts, now)
         if not self.dear_serves and job.spec.priority < URGENT and job.spec.spot and job.cheap_hosts:
             # The cheap machines alone are in time: let the dear ones run empty and go back.
-            machines = [m for m in machines if m.spot]
+            machines = [m for m in machines if m.spot or m.index in self.standing]
         if job.spec.shape == GANG:
             self._place_gang(job, machines, now)
             return
+        if job.standing:
+            self._place_service(job, count, machines, now)
+            return
         machines = placement.ranked(job, machines)
         share = self.shares[job.team]
         placed = 0
@@ -213,6 +222,35 @@
         if placed:
             log.debug("job %s: placed %d, %d wait", job.spec.id, placed, len(job.waiting))
 
+    def _place_service(self, job: Job, count: int, machines: list[Machine], now: float) -> None:
+        """Replicas one by one, since each changes which machine is best for the next."""
+        quiet = self.policy.standing_quiet * self.settings.facts.workers.report_s
+        machines = [m for m in machines if placement.steady(m, now, quiet)]
+        share = self.shares[job.team]
+        while job.waiting and count > 0 and share.allows(job.spec):
+            zones = placement.zones_open(job, self._zone)
+            fit = [
+                m
+                for m in machines
+                if m.has_room(job.spec) and m.zone is not None and placement.zone_allowed(job, m.zone, zones)
+            ]
+            if not fit:
+                job.why_waiting = NO_ROOM
+                return
+            hint = job.hints.pop(job.waiting[-1], None)
+            best = min(
+                fit,
+                key=lambda m: (m.index != hint, *placement.shelter(job, m, zones, self._fetch_s(job, m))),
+            )
+            self._put(job, job.waiting.pop(), best, now, False)
+            count -= 1
+
+    def _fetch_s(self, job: Job, machine: Machine) -> float:
+        """How long the machine fetches the job's image, if it has the whole rate for it."""
+        if machine.type is None:
+            return 0.0
+        return job.spec.image_gb / max(self.types[machine.type].fetch_gb_per_s, 0.01)
+
     def _has_turn(self, job: Job, now: float) -> bool:
         """Whether the job has gone without a start for so long that it is its turn, whoever else waits."""
         return now - max(job.placed_at, job.created) > self.policy.turn_s
@@ -249,20 +287,23 @@
         if now < self.preempt_at:
             return
         wanting = self._wanting(queue, now)
-        if not wanting:
+        short = self._short_of_quota(now)
+        if not wanting and not short:
             return
         self.preempt_at = now + PREEMPT_EVERY_S
+        budget = self.policy.preempt_per_round
+        for job, need in short:
+            budget -= self._give_way(job, need, now, budget)
         after = [dataclasses.replace(share) for share in self.shares]  # once the stops are through
         busy = set()
         for place in self.halting:
             after[place.job.team].give(place.job.spec)
             busy.add(place.machine)
-        budget = self.policy.preempt_per_round
         # What tasks give back by themselves in a moment needs no stops.
         given = self.policy.preempt_wait_s * self._turnover()
         machines = [m for m in self.machines.values() if not m.relay and m.index not in busy]
         for job, need, owed in wanting:
-            if now - job.created < 2.0 * self.policy.preempt_wait_s:
+            if now - job.created < 2.0 * self.policy.preempt_wait_s and not job.standing:
                 soon = min(need, int(given / max(job.spec.cpus, 0.1)))
                 given -= soon * job.spec.cpus
                 need -= soon
@@ -289,7 +330,52 @@
 
     def _turnover(self) -> float:
         """CPUs that running tasks give back in a second, as long as they are expected to last."""
-        return sum(len(job.open) * job.spec.cpus / max(1.0, self.expected(job)) for job in self.jobs.values())
+        return sum(
+            len(job.open) * job.spec.cpus / max(1.0, self.expected(job))
+            for job in self.jobs.values()
+            if not job.standing
+        )
+
+    def _short_of_quota(self, now: float) -> list[tuple[Job, int]]:
+        """Services that their team's limit keeps from running while the team runs work of lower priority, and
+        how many replicas they lack."""
+        out = []
+        for job in self.jobs.values():
+            if job.standing and job.waiting and not job.cancelled and job.not_before <= now:
+                lacking = len(job.waiting) - self.shares[job.team].room(job.spec)
+                if lacking > 0:
+                    out.append((job, lacking))
+        return sorted(out, key=lambda entry: (-entry[0].spec.priority, entry[0].created))
+
+    def _give_way(self, job: Job, need: int, now: float, budget: int) -> int:
+        """Stop work of the same team and of lower priority until `need` replicas fit under the team's limit;
+        how many stops that took. First what runs where a replica may go, of that what loses least."""
+        spec = job.spec
+        cpus, gpus = need * spec.cpus, need * spec.gpus
+        victims = []
+        for other in self.jobs.values():
+            if other.team != job.team or other.spec.priority >= spec.priority or other.standing:
+                continue
+            for place in other.open.values():
+                if place.halting:
+                    cpus, gpus = cpus - other.spec.cpus, gpus - other.spec.gpus
+                    continue
+                machine = self.machines[place.machine]
+                loss = preemption.lost_work(other, place, now, self.expected(other))
+                there = placement.type_allowed(job, machine) and machine.usable
+                victims.append((not there, other.spec.priority, loss, place.key, place))
+        stops = 0
+        for *_, place in sorted(victims, key=lambda v: v[:4]):
+            if stops >= budget or (cpus <= EPS and gpus <= EPS):
+                break
+            gives = place.job.spec
+            if (cpus > EPS and gives.cpus > 0) or (gpus > EPS and gives.gpus > 0):
+                cpus, gpus = cpus - gives.cpus, gpus - gives.gpus
+                self._halt(place, gives.save_s * 1.5 if gives.checkpoint_s > 0 else 0.0)
+                stops += 1
+        if stops:
+            log.info("job %s waits for its team's limit: stopping %d tasks of the team", spec.id, stops)
+        return stops
 
     def _wanting(self, queue: list[Job], now: float) -> list[tuple[Job, int, int]]:
         """Whose waiting work may push others out, how many tasks of it, and how many that is owed."""
@@ -304,7 +390,7 @@
             share = self.shares[job.team]
             need = min(len(job.waiting), share.room(job.spec))
             owed = 0
-            if now - job.created > self.policy.guarantee_wait_s:
+            if job.standing or now - job.created > self.policy.guarantee_wait_s:
                 owed = share.owed(job.spec)
             if job.spec.priority < URGENT:
                 # Room is taken back for the guarantee alone, not for what would be borrowed on top.
@@ -319,8 +405,11 @@
     ) -> list[list[preemption.Victim]]:
         """The stops that would make room for one task, machine by machine, the cheapest first."""
         counts = placement.zones_open(waiting, self._zone)
+        quiet = self.policy.standing_quiet * self.settings.facts.workers.report_s
         out: list[tuple[float, int, list[preemption.Victim]]] = []
         for machine in placement.candidates(waiting, machines, counts, now):
+            if waiting.standing and not placement.steady(machine, now, quiet):
+                continue
             found = []
             for place in machine.open.values():
                 job = place.job
@@ -337,8 +426,10 @@
             cost = got[1]
             if not machine.images.get(waiting.image) and machine.type is not None:
                 # The waiting task would first fetch its image there.
-                fetch = waiting.spec.image_gb / max(self.types[machine.type].fetch_gb_per_s, 0.01)
-                cost += fetch * waiting.spec.cpus * self.policy.fetch_weight
+                cost += self._fetch_s(waiting, machine) * waiting.spec.cpus * self.policy.fetch_weight
+            if waiting.standing:
+                # A loss should take one replica of a job: a second one on a machine only for want of others.
+                cost += SECOND * sum(place.job is waiting for place in machine.open.values())
             out.append((cost, machine.index, got[0]))
         out.sort(key=lambda entry: entry[:2])
         return [found for _, _, found in out]
@@ -411,8 +502,16 @@
                 sources.append((spec.cpus - machine.free_cpus, machine.index))
         best: tempered.Plan | None = None
         counts_ = tempered.Counts(self.policy.balance_trials, self.policy.balance_iterations, moves)
+
+        def allowed_(key: Key, target: int) -> bool:
+            # A service is not interrupted for work that may wait: only for another of its rank or above.
+            moved = self.jobs[(workers.split_task(key[0]) or ("", 0))[0]]
+            return (not moved.standing or spec.priority >= moved.spec.priority) and self._may_move(
+                key, target
+            )
+
         for _, index in sorted(sources)[: self.policy.balance_sources]:
-            plan = tempered.free_room(list(hosts.values()), index, need, counts_, self._may_move, self.rng)
+            plan = tempered.free_room(list(hosts.values()), index, need, counts_, allowed_, self.rng)
             if plan is not None and (best is None or plan.imbalance < best.imbalance):
                 best = plan
         return best
@@ -437,6 +536,8 @@
             counts[here] -= 1
             if not counts[here]:
                 del counts[here]
+        if job.standing and not self._may_move_replica(job, machine):
+            return False
         return (
             machine.zone is not None
             and machine.index not in job.failed_on
@@ -444,6 +545,17 @@
             and placement.zone_allowed(job, machine.zone, counts)
         )
 
+    def _may_move_replica(self, job: Job, machine: Machine) -> bool:
+        """A move is a gap in the service: to a machine that has the image and no replica, one of a job at a
+        time, and only while all its others run."""
+        return (
+            bool(machine.images.get(job.image))
+            and not job.waiting
+            and not job.resting
+            and not any(place.job is job for place in machine.open.values())
+            and not any(p.halting or p.running_since is None for p in job.open.values())
+        )
+
     def _drain(self, machine: Machine, now: float) -> None:
         """A spot notice: save what can be saved in time, give up early on what can't finish."""
         left = (machine.notice or now) - now
--- a/bayford/protocol/mesh.py
+++ b/bayford/protocol/mesh.py
@@ -10,6 +10,9 @@
 from bayford.protocol.workers import Report, TaskState
 
 STATUS_PATH = "/mesh/status"
+# Raised with each version that an older one may meet at a site. A controller says it to the others here and
+# nowhere else: a member's value is compared letter by letter, and rows and records take no unknown fields.
+RELEASE = 2
 
 
 class Status(msgspec.Struct):
@@ -19,6 +22,7 @@
     token: int
     owner: str
     served: bool = False  # by the state service, lately
+    release: int = 1  # of the program; the first one did not say
 
 
 _status = msgspec.json.Decoder(Status)
--- a/bayford/protocol/state_api.py
+++ b/bayford/protocol/state_api.py
@@ -7,7 +7,7 @@
 import msgspec
 import orjson
 
-from bayford.storage.store import Compacted, LeaseGone, Outcome, Put, Row, Unavailable, Unknown
+from bayford.storage.store import Compacted, LeaseGone, Outcome, Put, Row, TooLarge, Unavailable, Unknown
 
 # method, path, body, seconds to wait -> status, body. Raises Unavailable or Unknown, as `Store` says.
 Caller = Callable[[str, str, bytes | None, float], tuple[int, bytes]]
@@ -100,7 +100,9 @@
             return Outcome(got.epoch, tuple(got.failed) or ("?",))
         if status == 400 and b"no such lease" in raw:
             raise LeaseGone
-        if status in (400, 429, 503):
+        if status == 400:
+            raise TooLarge(f"transaction: {status} {raw[:200]!r}")
+        if status in (429, 503):
             raise Unavailable(f"transaction: {status} {raw[:200]!r}", refused=True)
         raise Unknown(f"transaction: {status}")
 
--- a/bayford/scheduling/fleet.py
+++ b/bayford/scheduling/fleet.py
@@ -1,5 +1,6 @@
 """When to rent and when to return machines. Pure: the caller counts, this decides."""
 
+import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
@@ -31,6 +32,17 @@
     dear: int  # how many of the tasks are worth dear machines, for else the aim is missed
     hosts: float  # CPUs of the present fleet, what is coming included, that may serve it
     cheap: float  # the spot ones of them
+    yielded: float = 0.0  # CPUs that other work gives up for it
+    standing: bool = False  # a service's replicas, which never end
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """Services that the same kinds of machine may serve, and how many of each kind alone would hold them all,
+    the reserve included. All kinds are ordinary ones."""
+
+    options: frozenset[Option]
+    machines: dict[int, float]  # by type
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,14 +74,13 @@
     busy_s: float,
     ordinary_after_s: float,
     patience_s: float,
-    yielding_cpus: float,
 ) -> list[Rental]:
     """What to rent for `needs`.
 
     `spare` counts machines that are coming up, by kind; they serve needs first. `busy_s` is how long the
     present fleet needs for its backlog: work that the fleet clears within `patience_s` waits for it, and
     dearer ordinary machines are taken only when the backlog exceeds `ordinary_after_s` or for urgent work
-    that neither the `yielding_cpus` (held by work that it may push out, or on their way) can serve.
+    that no room can serve which other work gives up for it.
 
     A fleet that may not serve a job is no reason for it to wait: work that no machine of the present fleet
     may take needs one of its own, an ordinary one where no cheap one may serve it or is to be had.
@@ -93,9 +104,7 @@
         stranded = not need.cheap and not any(o.spot for o in need.options - refused)
         dear = left if busy_s >= ordinary_after_s or stranded else min(left, need.dear)
         if need.urgent:
-            yielded = min(left * need.cpus, yielding_cpus)
-            yielding_cpus -= yielded
-            dear = max(dear, left - int((yielded + EPS) / max(need.cpus, EPS)))
+            dear = max(dear, left - int((need.yielded + EPS) / max(need.cpus, EPS)))
         choices = []
         for option in need.options - refused:
             kind = types[option.type]
@@ -114,6 +123,37 @@
     return [Rental(option, min(50, count), why) for option, (count, why) in ask.items()]
 
 
+def for_services(
+    groups: Sequence[Group],
+    types: Sequence[MachineType],
+    have: Mapping[Option, int],
+    refused: frozenset[Option],
+) -> list[Rental]:
+    """What to rent that the standing services and their reserve have room. `have`: the machines by kind,
+    those that are coming included."""
+    out: dict[Option, int] = {}
+    for group in groups:
+        share = sum(
+            (have.get(o, 0) + out.get(o, 0)) / group.machines[o.type]
+            for o in group.options
+            if group.machines.get(o.type)
+        )
+        if share >= 1.0:
+            continue
+        choices = [
+            (types[o.type].price * group.machines[o.type], types[o.type].boot_s, o.type, o.zone, o)
+            for o in group.options - refused
+            if group.machines.get(o.type)
+        ]
+        if not choices:
+            continue
+        best = min(choices, key=lambda c: (round(c[0], 6), *c[1:4]))[4]
+        count = math.ceil((1.0 - share) * group.machines[best.type] - EPS)
+        if count > 0:
+            out[best] = out.get(best, 0) + count
+    return [Rental(option, min(50, count), "services") for option, count in out.items()]
+
+
 def should_return(idle_s: float, age_s: float, ordinary: bool, waiting: bool, keep_s: float) -> bool:
     """Whether an idle machine goes back. Below the minimum charge, keeping it costs nothing."""
     if waiting or age_s < MIN_CHARGE_S:
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -28,6 +28,11 @@
     dear_idle_s: float = 2.0
     reserve: float = 1.0
     reserve_memory_s: float = 90.0
+    # services
+    standing_share: float = 0.15
+    standing_floor: float = 16.0
+    standing_memory_s: float = 30.0
+    standing_quiet: float = 2.5
     # failing runs
     job_fault_machines: int = 3
     # answers to reports
--- a/bayford/storage/ledger.py
+++ b/bayford/storage/ledger.py
@@ -8,6 +8,12 @@
 snapshot of it; the tail is the first row in which something lives, and the rows before it are free. That
 keeps the log short, and so a new owner's reading, whatever the number of jobs.
 
+The size of a block is part of the layout: a snapshot names its block by number. It follows from the size
+that a value had when the log was begun, and stays when the state service takes less. Then a snapshot may not
+fit into a row any more; its tasks are told again one by one instead, as many as fit into each row, and a row
+is dead too once all that it tells has been told again. Readers of the first version need to know nothing of
+that: they take the tail from the row, and a task told again is no news.
+
 Rows assign, they don't add: reading one again, or reading more than is needed, changes nothing.
 
 Exactly once: a row's write names the stamp of the slot that it takes, and the slot that row `n` takes follows
@@ -16,8 +22,9 @@
 """
 
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 from typing import Any
 
 import msgspec
@@ -31,6 +38,7 @@
 NAME_BYTES = 16  # and its machine's name
 HEAD_BYTES = 192
 KEEP_ROWS = 24  # the log is kept about this long; longer where the open work does not fit into so many
+LEAST_BLOCK = 4
 
 
 class Value(msgspec.Struct, forbid_unknown_fields=True):
@@ -54,6 +62,7 @@
     open: dict[int, Place] = field(default_factory=dict)
     done: set[int] = field(default_factory=set)
     snapped: dict[int, int] = field(default_factory=dict)  # block -> the last row with a snapshot of it
+    told: dict[int, int] = field(default_factory=dict)  # task -> the last row that told of it since then
 
 
 @dataclass(slots=True)
@@ -62,7 +71,7 @@
 
     slot: str
     stamp: int
-    blocks: set[Block]
+    blocks: list[Block]
 
 
 def ranges(tasks: Iterable[int]) -> list[int]:
@@ -89,7 +98,7 @@
 
 def block_size(value_bytes: int) -> int:
     """Tasks in a block: so many that a snapshot of one takes a third of a value at the most."""
-    return max(4, (value_bytes - HEAD_BYTES) // 3 // (OPEN_BYTES + NAME_BYTES))
+    return max(LEAST_BLOCK, (value_bytes - HEAD_BYTES) // 3 // (OPEN_BYTES + NAME_BYTES))
 
 
 class Ledger:
@@ -98,9 +107,10 @@
     Not locked: its user, the mirror, does that.
     """
 
-    def __init__(self, value_bytes: int) -> None:
-        self.value_bytes = value_bytes
-        self.block = block_size(value_bytes)
+    def __init__(self, layout_bytes: int) -> None:
+        """`layout_bytes`: the size of a value that the blocks were laid out for."""
+        self.block = block_size(layout_bytes)
+        self.layout_bytes = layout_bytes
         self.clear()
 
     def clear(self) -> None:
@@ -147,6 +157,8 @@
             blocks.add((job, number))
             progress = self._progress(job)
             progress.snapped[number] = value.n
+            for task in range(number * size, (number + 1) * size):
+                progress.told.pop(task, None)
             if whole:
                 # Only who has not read the rows before has to take it in.
                 for task in [t for t in progress.open if t // size == number]:
@@ -158,18 +170,21 @@
             progress = self._progress(job)
             for task in tasks:
                 self._close(job, progress, task)
-                blocks.add((job, task // size))
+                # On no machine and not done: that is what is known of a task of which nothing is told.
+                progress.told.pop(task, None)
         for job, tasks in value.d.items():
             progress = self._progress(job)
             for task in tasks:
                 self._close(job, progress, task)
                 progress.done.add(task)
+                progress.told[task] = value.n
                 blocks.add((job, task // size))
         for job, flat in value.o.items():
             progress = self._progress(job)
             for task, attempt, where in triples(flat):
                 self._close(job, progress, task)
                 self._open(job, progress, task, attempt, value.m[where])
+                progress.told[task] = value.n
                 blocks.add((job, task // size))
         for job in value.x:
             old = self.jobs.pop(job, None)
@@ -178,7 +193,7 @@
                     self._close(job, old, task)
         if self.free and self.free[0][0] == slot:
             self.free.popleft()
-        self.window[value.n] = Row(slot, stamp, blocks)
+        self.window[value.n] = Row(slot, stamp, list(blocks))
         self.next_attempt = max(self.next_attempt, value.a)
         self.next = value.n + 1
         for n in range(self.tail, min(value.t, self.next)):
@@ -212,9 +227,10 @@
         """The tail that the next row may name: no row before it tells anything that counts."""
         n = self.tail
         while n < self.next - 1:
-            row = self.window[n]
-            row.blocks = {b for b in row.blocks if self._lives(b, n)}
-            if row.blocks:
+            blocks = self.window[n].blocks
+            while blocks and not self._lives(blocks[-1], n):
+                blocks.pop()
+            if blocks:
                 break
             n += 1
         return n
@@ -227,28 +243,47 @@
 
     def _lives(self, block: Block, n: int) -> bool:
         """Whether what row `n` tells of the block still counts."""
-        progress = self.jobs.get(block[0])
-        return progress is not None and progress.snapped.get(block[1], -1) <= n
+        return next(self.telling(block, n), None) is not None
 
-    def oldest_blocks(self, keep: int) -> Iterator[Block]:
-        """What is worth a snapshot, that the log may shrink to `keep` rows: the blocks of the oldest rows."""
+    def telling(self, block: Block, n: int) -> Iterator[int]:
+        """The tasks of the block that are on machines or done, and of which row `n` is the last to tell."""
+        progress = self.jobs.get(block[0])
+        if progress is None:
+            return
+        snapped = progress.snapped.get(block[1], -1)
+        if snapped > n:
+            return
+        for task in range(block[1] * self.block, (block[1] + 1) * self.block):
+            told = progress.told.get(task)
+            # A task that no row has told of since the snapshot counts there, if there is anything to it.
+            if told == n or (
+                told is None and snapped == n and (task in progress.open or task in progress.done)
+            ):
+                yield task
+
+    def oldest_blocks(self, keep: int) -> Iterator[tuple[Block, int]]:
+        """What is worth telling again, that the log may shrink to `keep` rows: the blocks of the oldest rows,
+        each with the row that tells of it."""
         offered: set[Block] = set()
         for n in range(self.tail, self.next - keep):
-            row = self.window[n]
-            for block in sorted(row.blocks):
+            for block in sorted(self.window[n].blocks):
                 if block not in offered and self._lives(block, n):
                     offered.add(block)
-                    yield block
+                    yield block, n
 
 
 class RowMaker:
     """One row in the making; says how many bytes are left in its value."""
 
-    def __init__(self, ledger: Ledger, n: int, tail: int, next_attempt: int) -> None:
+    def __init__(self, ledger: Ledger, n: int, tail: int, next_attempt: int, row_bytes: int) -> None:
+        """`row_bytes`: what a value may have now, whatever the ledger was laid out for."""
         self.value = Value(n, tail, next_attempt)
         self._ledger = ledger
         self._where: dict[tuple[str, int], int] = {}
-        self.left = ledger.value_bytes - HEAD_BYTES
+        self.left = row_bytes - HEAD_BYTES
+        # Shorter rows, more of them.
+        self._keep = KEEP_ROWS * max(1, ledger.layout_bytes // row_bytes)
+        self._spare = row_bytes // 3 if len(ledger.window) > 2 * self._keep else 0
 
     def _index(self, machine: str, session: int) -> int:
         index = self._where.get((machine, session))
@@ -261,9 +296,11 @@
     def room(self, job: str, machine: str = "") -> bool:
         """Whether one more change of a task surely fits.
 
-        Once the log is long, a third of each row is left to snapshots, or it would grow for ever.
+        Once the log is long, a third of each row is left to snapshots, or it would grow for ever; of the
+        shortest rows, what a first change leaves.
         """
-        spare = self._ledger.value_bytes // 3 if len(self._ledger.window) > 2 * KEEP_ROWS else 0
+        value = self.value
+        spare = self._spare if value.o or value.d or value.c or value.x else 0
         return self.left - spare >= OPEN_BYTES + len(job) + len(machine) + 32
 
     def opened(self, job: str, task: int, attempt: int, machine: str, session: int) -> None:
@@ -297,24 +334,46 @@
             self.left -= len(job) + 8
         return found
 
-    def snapshots(self) -> None:
-        """Fill what is left with snapshots of what the oldest rows tell."""
+    def snapshots(self, changing: Mapping[str, Collection[int]] = MappingProxyType({})) -> None:
+        """Fill what is left with what the oldest rows tell: snapshots of blocks, or the single tasks of a
+        block that does not fit. `changing`: the tasks of which this transaction tells anyhow."""
         ledger = self._ledger
-        for job, number in ledger.oldest_blocks(KEEP_ROWS):
+        for (job, number), row in ledger.oldest_blocks(self._keep):
             progress = ledger.jobs[job]
             first = number * ledger.block
             tasks = range(first, first + ledger.block)
             done = ranges(t for t in tasks if t in progress.done)
             placed = [(t, progress.open[t]) for t in tasks if t in progress.open]
-            need = 6 * len(done) + len(job) + 24
-            need += sum(OPEN_BYTES + len(place[1]) for _, place in placed)
-            if need > self.left:
-                return
+            need = sum(len(str(t)) + 1 for t in done) + len(job) + 24
+            if need + sum(self._placing(*entry) for entry in placed) > self.left:
+                if not self._again(job, ledger.telling((job, number), row), changing.get(job, ())):
+                    return
+                continue
             flat: list[int] = []
             for task, place in placed:
                 self._place(flat, task, place)
             self.value.s.append((job, number, done, flat))
-            self.left -= 6 * len(done) + len(job) + 24
+            self.left -= need
+
+    def _placing(self, task: int, place: Place) -> int:
+        """Bytes that the place of a task takes at the most, its machine's name included."""
+        return len(str(task)) + len(str(place[0])) + len(place[1]) + len(str(place[2])) + 14
+
+    def _again(self, job: str, tasks: Iterable[int], changing: Collection[int]) -> bool:
+        """Tell again of these tasks, as they are before this transaction; False once the row is full."""
+        progress = self._ledger.jobs[job]
+        for task in tasks:
+            if task in changing:
+                continue
+            place = progress.open.get(task)
+            # Room for the job's name and its list, too.
+            if self.left < (8 if place is None else self._placing(task, place)) + len(job) + 10:
+                return False
+            if place is None:
+                self.done(job, task)
+            else:
+                self.opened(job, task, *place)
+        return True
 
     def finish(self) -> dict[str, Any]:
         """The value to write, empty fields left out."""
--- a/bayford/storage/mirror.py
+++ b/bayford/storage/mirror.py
@@ -13,7 +13,7 @@
 
 from bayford.storage import records
 from bayford.storage.ledger import Ledger, Progress
-from bayford.storage.records import JOBS, LOG, Unreadable
+from bayford.storage.records import JOBS, LAYOUT, LOG, Unreadable
 from bayford.storage.store import Compacted, Row, Store, Unavailable, Unknown
 
 log = logging.getLogger("bayford.mirror")
@@ -26,11 +26,13 @@
     """All rows under `records.PREFIX`, by key."""
 
     def __init__(
-        self, store: Store, value_bytes: int, listener: Listener | None = None, threaded: bool = True
+        self, store: Store, layout_bytes: int, listener: Listener | None = None, threaded: bool = True
     ) -> None:
-        """Without `threaded` there is no thread behind `fresh`: the caller's own reads."""
+        """`layout_bytes`: what the ledger is laid out for, unless the store says otherwise. Without
+        `threaded` there is no thread behind `fresh`: the caller's own reads."""
         self._threaded = threaded
-        self.ledger = Ledger(value_bytes)
+        self._layout_bytes = layout_bytes
+        self.ledger = Ledger(layout_bytes)
         self._reading = False  # one reload at a time
         # The rows read page by page are of several moments. Only the changes that follow make them one.
         self._torn = True
@@ -68,6 +70,8 @@
                     told.append(row)
                 else:
                     news.append(row)
+            if self._laid_out() != self.ledger.layout_bytes:
+                self._torn = True  # what was read with other blocks is to be read again
             if not self._torn:
                 self._extend(told)
             if revision is not None and revision > self.revision:
@@ -115,7 +119,17 @@
         with self._lock:
             self._rebuild()
 
+    def _laid_out(self) -> int:
+        """The size that the ledger's blocks were laid out for. The store's word goes before the settings',
+        or a settings file with a new limit would misread every snapshot there is."""
+        row = self._row(LAYOUT)
+        if row is None or not isinstance(row.value, dict):
+            return self._layout_bytes
+        return int(row.value.get("value_bytes", self._layout_bytes))
+
     def _rebuild(self) -> None:
+        if self._laid_out() != self.ledger.layout_bytes:
+            self.ledger = Ledger(self._laid_out())
         found = [(r.key, r.stamp, r.value) for r in self._families.get(LOG, {}).values()]
         try:
             self.ledger.rebuild(found)
--- a/bayford/storage/records.py
+++ b/bayford/storage/records.py
@@ -7,15 +7,20 @@
 times a second and lies in the ledger (`storage.ledger`), where one write carries the changes of many jobs.
 """
 
+import json
 from typing import Any
 
 import msgspec
+import orjson
 
 from bayford.scheduling.model import JobSpec
 
 PREFIX = "b/"
 JOBS = "b/j/"
 LOG = "b/log/"
+LAYOUT = (
+    "b/layout"  # the size of a value that the ledger was laid out for; the first release knows no such key
+)
 MAP = "b/map"
 MEMBERS = "b/member/"
 RELAYS = "b/relay/"
@@ -60,6 +65,25 @@
     return msgspec.to_builtins(record)
 
 
+def size(value: Any) -> int:
+    """Bytes of a value as JSON, in whichever of the two usual ways to write it is the longer."""
+    return max(len(orjson.dumps(value)), len(json.dumps(value, separators=(",", ":"))))
+
+
+def fitted(record: Record, most: int) -> Any:
+    """The value of a final record in at most `most` bytes, as far as that can be.
+
+    It may have been accepted when values could be larger. Nothing of the job starts any more, so what only
+    says where and with what it might run can go; its team and amounts stay, since tasks of it may still be
+    there.
+    """
+    value = encode(record)
+    if size(value) <= most:
+        return value
+    bare = msgspec.structs.replace(record.spec, types=None, zone=None, image="-", job_class="-")
+    return encode(msgspec.structs.replace(record, spec=bare))
+
+
 def decode(value: Any) -> Record:
     """A record from its value."""
     try:
--- a/bayford/storage/store.py
+++ b/bayford/storage/store.py
@@ -16,6 +16,13 @@
         self.refused = refused
 
 
+class TooLarge(Unavailable):
+    """Refused for what it is, its size most likely: sent again as it stands it will be refused again."""
+
+    def __init__(self, text: str) -> None:
+        super().__init__(text, refused=True)
+
+
 class Unknown(Exception):
     """No answer: the request may have been executed, or may still be."""
 
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -28,6 +28,12 @@
 # reserve = 1.0              # the reserve, in mean CPUs of the urgent jobs that came lately
 # reserve_memory_s = 90.0    # what "lately" is
 
+# --- services (shape "daemon")
+# standing_share = 0.15      # ordinary machines are kept for so much more than the services that stand
+# standing_floor = 16.0      # and for so many CPUs more, from the start where the aims name services
+# standing_memory_s = 30.0   # and for what was accepted within this time once more
+# standing_quiet = 2.5       # a replica goes to no machine unheard for so many times report_s
+
 # --- failing runs
 # job_fault_machines = 3     # a job that failed on so many machines, and ran on none, is itself at fault
 
