--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -41,6 +41,7 @@
 ISOLATED_S = 4.0  # longer than a member's lease
 FINAL_BYTES = 64  # what a record may grow by until it is final
 TELL_S = 15.0  # how often the log says who waits and why
+SUMMARY_GAP_S = 0.7  # between two values of a summary
 SUMMARY_OLD_S = 180.0  # an older summary says nothing about the machines of now
 
 
@@ -99,6 +100,7 @@
         self._deletions: queue.Queue[str] = queue.Queue()  # each machine is in it once at the most
         self._rental_number = 0
         self._summary_keys = 0
+        self._summary: list[Put] = []  # what is still to be written of the newest one
         self._unreachable: set[str] = set()
         self.pulse = Pulse(clock)
         self._adopted = threading.Event()  # set, and replaced by another, whenever we have become owner
@@ -521,16 +523,23 @@
         return 0.0
 
     def summary_step(self) -> float:
-        """Write the summary; not conditional on the map, since it decides nothing."""
-        picture = self.engine.summary()
-        if picture and self._sure():
-            puts = summary.encode(
-                self.name, self.wall(), picture, self.limits.value_bytes, self._summary_keys
-            )
-            self._summary_keys = sum(put.value is not None for put in puts)
-            for at in range(0, len(puts), 4):
-                self.writes.take(len(puts[at : at + 4]))
-                self._put_all(puts[at : at + 4])
+        """Write the next value of the summary; not conditional on the map, since it decides nothing.
+
+        One value at a time, and one that is refused is not written again: all of them at once, tried again
+        and again on credit, once took the whole rate of writes and no placement was committed for a minute.
+        """
+        if not self._summary:
+            picture = self.engine.summary()
+            if picture and self._sure():
+                most = self.limits.value_bytes
+                self._summary = summary.encode(self.name, self.wall(), picture, most, self._summary_keys)
+                self._summary_keys = sum(put.value is not None for put in self._summary)
+        if self._summary:
+            put = self._summary.pop(0)
+            self.writes.take(1)
+            self._put_all([put])
+            if self._summary:
+                return SUMMARY_GAP_S
         return max(1.0, self.engine.policy.summary_every_s)
 
     def _tell_step(self) -> float:
--- /dev/null
+++ b/tools/crosscheck.py
@@ -0,0 +1,137 @@
+"""Play the ledger of the version in production against this one's, outside CI: it needs the history.
+
+    python tools/crosscheck.py [--rounds N] [--seed N]
+
+`deploy/service.toml` names the commit in production; its `storage/ledger.py` is read from the history and run
+as it is. Both versions then write rows into one log in turn, as owners of an upgrade do, the old one in rows
+of the present limit and the new one in rows of the limit to come. Every reader of both must add all rows up
+to the same state, also one that begins anew, and find the same slots free.
+"""
+
+import argparse
+import importlib.util
+import random
+import subprocess
+import sys
+import tempfile
+import tomllib
+from pathlib import Path
+from types import ModuleType
+from typing import Any
+
+import orjson
+
+HERE = Path(__file__).resolve().parent.parent
+sys.path.insert(0, str(HERE))
+
+from bayford.storage import ledger as new  # noqa: E402
+
+
+def production() -> ModuleType:
+    """The ledger of the version in production."""
+    commit = tomllib.loads((HERE / "deploy" / "service.toml").read_text())["production"]
+    shown = ["git", "show", f"{commit}:bayford/storage/ledger.py"]
+    text = subprocess.run(shown, cwd=HERE, check=True, capture_output=True, text=True).stdout
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "production_ledger.py"
+        path.write_text(text)
+        spec = importlib.util.spec_from_file_location("production_ledger", path)
+        assert spec is not None and spec.loader is not None
+        module = importlib.util.module_from_spec(spec)
+        sys.modules["production_ledger"] = module
+        spec.loader.exec_module(module)
+    return module
+
+
+def state(ledger: Any) -> dict[str, Any]:
+    """What a ledger holds, empty jobs left out."""
+    out = {}
+    for job, progress in ledger.jobs.items():
+        if progress.open or progress.done:
+            out[job] = (dict(progress.open), set(progress.done))
+    return out
+
+
+def slots(ledger: Any) -> Any:
+    """Where the next rows go, and what has to be read."""
+    return ledger.next, ledger.tail, ledger.slots(3)
+
+
+def play(rounds: int, seed: int, layout: int, short: int) -> None:
+    """One log of `rounds` rows by both versions in turn."""
+    rng = random.Random(seed)
+    old = production()
+    readers = [old.Ledger(layout), new.Ledger(layout)]
+    stored: dict[str, tuple[int, Any]] = {}
+    attempt, stamp, longest = 1, 10, 0
+    writer = 0
+    for number in range(rounds):
+        if rng.random() < 0.02:
+            writer = 1 - writer
+        if number > rounds * 2 // 3:
+            writer = 1  # all are new now
+        ledger: Any = readers[writer]
+        if writer == 0:
+            maker: Any = old.RowMaker(ledger, ledger.next, ledger.dead_before(), attempt + 40)
+        else:
+            maker = new.RowMaker(ledger, ledger.next, ledger.dead_before(), attempt + 40, short)
+        changing: dict[str, list[int]] = {}
+        for _ in range(rng.randint(1, 30)):
+            job, task = f"req-{rng.randrange(9):06d}", rng.randrange(300)
+            machine = f"vm-{rng.randrange(400):06d}"
+            progress = ledger.jobs.get(job)
+            if not maker.room(job, machine) or task in changing.get(job, ()):
+                continue
+            if progress is not None and task in progress.done:
+                continue
+            changing.setdefault(job, []).append(task)
+            kind = rng.random()
+            if kind < 0.55:
+                attempt += 1
+                maker.opened(job, task, attempt, machine, 1)
+            elif kind < 0.85:
+                maker.done(job, task)
+            else:
+                maker.closed(job, task)
+        if rng.random() < 0.02 and ledger.jobs:
+            job = rng.choice(sorted(ledger.jobs))
+            if job not in changing and maker.room(job):
+                maker.over(job)
+        if writer == 0:
+            maker.snapshots()
+        else:
+            maker.snapshots(changing)
+        slot, before = ledger.slots(1)[0]
+        assert stored.get(slot, (0, None))[0] == before, "the slot's stamp is known"
+        value = orjson.loads(orjson.dumps(maker.finish()))
+        assert len(orjson.dumps(value)) <= (layout if writer == 0 else short)
+        stamp += 1
+        stored[slot] = (stamp, value)
+        for reader in readers:
+            reader.take(slot, stamp, value)
+        longest = max(longest, len(stored))
+        assert state(readers[0]) == state(readers[1]), f"row {number}: the versions differ"
+        assert slots(readers[0]) == slots(readers[1]), f"row {number}: the slots differ"
+        if number % 50 == 49:
+            rows = [(slot, at, value) for slot, (at, value) in stored.items()]
+            rng.shuffle(rows)
+            for module in (old, new):
+                fresh = module.Ledger(layout)
+                fresh.rebuild(rows)
+                assert state(fresh) == state(readers[0]), f"row {number}: a new reader differs"
+                assert slots(fresh) == slots(readers[0]), f"row {number}: a new reader's slots differ"
+    print(f"layout {layout}, rows of {short}: {rounds} rows, {longest} slots at the most, good")
+
+
+def main() -> None:
+    """Both sites' layouts, and shorter rows than any that are named."""
+    top = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    top.add_argument("--rounds", type=int, default=4000)
+    top.add_argument("--seed", type=int, default=1)
+    args = top.parse_args()
+    for layout, short in ((8192, 2048), (4096, 2048), (8192, 1024), (4096, 512)):
+        play(args.rounds, args.seed, layout, short)
+
+
+if __name__ == "__main__":
+    main()
