--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -93,8 +93,10 @@
             for o in facts.objectives
             if o.kind == "finished" and o.job_class is not None and o.within_s is not None
         }
-        # Whether the users have aims for services: they will come.
-        self.stands_expected = any(o.kind == "up" for o in facts.objectives)
+        # Classes that the users' aims name and that may be services: how soon they start counts, how soon they
+        # end does not. A job of another shape shows that its class is none.
+        ends = {o.job_class for o in facts.objectives if o.kind in ("finished", "deadline")}
+        self.standing_classes = {o.job_class for o in facts.objectives if o.kind in ("wait", "up")} - ends
         self._clear()
 
     def _clear(self) -> None:
@@ -206,6 +208,8 @@
             job.cancel_known = now
             job.cancelled_at = now - max(0.0, wall - record.cancelled)
         self.jobs[spec.id] = job
+        if spec.shape != SERVICE:
+            self.standing_classes.discard(spec.job_class)
         for task, (attempt, name, session) in progress.open.items() if progress is not None else ():
             machine = self._machine(name, now)
             place = self._placement(job, task, attempt, machine, session)
--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -217,7 +217,7 @@
             lately = self.jobs.get(spec.id)
             if lately is not None:
                 count(self._options(lately), spec, spec.tasks)
-        if self.stands_expected or known:
+        if self.standing_classes or known:
             ordinary = frozenset(
                 fleet.Option(index, self.zones.index(zone), False)
                 for index, kind in enumerate(self.types)
