--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -93,8 +93,8 @@
             for o in facts.objectives
             if o.kind == "finished" and o.job_class is not None and o.within_s is not None
         }
-        # Classes that the users' aims name and that may be services: how soon they start counts, how soon they
-        # end does not. A job of another shape shows that its class is none.
+        # Classes that the users' aims name and that may be services: how soon they start counts, how soon
+        # they end does not. A job of another shape shows that its class is none.
         ends = {o.job_class for o in facts.objectives if o.kind in ("finished", "deadline")}
         self.standing_classes = {o.job_class for o in facts.objectives if o.kind in ("wait", "up")} - ends
         self._clear()
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -61,6 +61,7 @@
         wall: Callable[[], float] = time.time,
         pause: Callable[[threading.Event, float], object] = threading.Event.wait,
         threaded: bool = True,
+        release: int = mesh.RELEASE,
     ) -> None:
         """`pause` waits for an event; the stories in tests/ pass one that moves their clock instead."""
         self._pause = pause
@@ -79,6 +80,7 @@
         self.mirror = Mirror(store, self.limits.layout_bytes, self._on_rows, threaded)
         teams = [t.name for t in settings.facts.teams]
         zones = {peer.member: peer.site for peer in settings.seeds} | {self.name: settings.site}
+        self.release = release
         self._releases: dict[str, int] = {}  # of the other controllers, as each last said
         self.membership = Membership(
             store, self.mirror, self.name, incarnation, teams, clock, zones, limits=self.limits,
@@ -245,7 +247,7 @@
 
     def elders(self) -> set[str]:
         """The other controllers that run an older release than this one."""
-        return {name for name, release in self._releases.items() if release < mesh.RELEASE}
+        return {name for name, release in self._releases.items() if release < self.release}
 
     def _succeed(self) -> None:
         """In an upgrade, take over from an older owner before it is killed: no lease has to run out for it,
@@ -578,14 +580,14 @@
         if self._releases.get(name) == release:
             return
         self._releases[name] = release
-        log.info("%s runs release %d, this is %d", name, release, mesh.RELEASE)
-        if len(self._releases) == len(self.peers) and set(self._releases.values()) == {mesh.RELEASE}:
-            log.info("all %d controllers run release %d", len(self.peers) + 1, mesh.RELEASE)
+        log.info("%s runs release %d, this is %d", name, release, self.release)
+        if len(self._releases) == len(self.peers) and set(self._releases.values()) == {self.release}:
+            log.info("all %d controllers run release %d", len(self.peers) + 1, self.release)
 
     def status(self) -> mesh.Status:
         """What peers are told."""
         view = self.membership.view
-        return mesh.Status(self.name, view.token, view.owner, self._served(), mesh.RELEASE)
+        return mesh.Status(self.name, view.token, view.owner, self._served(), self.release)
 
     def _served(self) -> bool:
         """Whether the state service has done what this node asked, lately."""
--- a/bayford/coordination/membership.py
+++ b/bayford/coordination/membership.py
@@ -143,17 +143,19 @@
         if self._orphaned():
             if self._orphan_since is None:
                 self._orphan_since = now
-            # In an upgrade the older ones are still to go: who is new already comes first.
-            elders = self._elders()
-            order = sorted(self.live(), key=lambda name: (name in elders, name))
-            delay = order.index(self.name) * STAGGER_S
-            if lonely(self.name, self._zones):
-                delay += LONELY_S
-            if now - self._orphan_since >= delay:
+            if now - self._orphan_since >= self.turn():
                 self._take_over()
         else:
             self._orphan_since = None
 
+    def turn(self) -> float:
+        """How long to leave a vacant map to those before us: one after the other, since all see it at once. In
+        an upgrade the older releases are still to go, so who is new already comes first."""
+        elders = self._elders()
+        order = sorted(self.live(), key=lambda name: (name in elders, name))
+        alone = LONELY_S if lonely(self.name, self._zones) else 0.0
+        return order.index(self.name) * STAGGER_S + alone
+
     def succeed(self) -> bool:
         """Whether to take over from an owner that lives: it runs an older release, so an upgrade is on and
         it is to be killed without notice, which would cost its lease. Of those who are new the first by name
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -21,7 +21,7 @@
 from bayford.transport.server import Request, Response, Server
 
 GOOD = json.loads(World(1).job(1))
-TEXT = SETTINGS.format(name="n9", zone="north", writes=15.0, value_kb=8.0)
+TEXT = SETTINGS.format(name="n9", zone="north", writes=15.0, value_kb=8.0, coming="")
 
 
 def test_a_good_submission_survives_the_record():
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,349 @@
+"""Two versions side by side: what they share in the state service, limits that fall, and who takes over."""
+
+import json
+from pathlib import Path
+
+import msgspec
+import orjson
+import pytest
+from test_stories import quiet, running
+from world import World
+
+from bayford.coordination.limits import Limits
+from bayford.coordination.relay import reports_in
+from bayford.protocol import mesh, workers
+from bayford.storage import ledger, records, summary
+from bayford.storage.store import Row, TooLarge
+
+# Each form as the version in production writes it, made once by that version.
+GOLDEN = json.loads((Path(__file__).parent / "fixtures" / "production.json").read_text())
+COMING = "value_kb = 2.0\ntxn_ops = 4\nwrite_rps = 15.0"
+
+
+def golden_ledger() -> ledger.Ledger:
+    found = ledger.Ledger(GOLDEN["layout_bytes"])
+    found.rebuild([tuple(row) for row in GOLDEN["rows"]])
+    return found
+
+
+def told(found: ledger.Ledger) -> dict:
+    return {
+        job: {"open": {str(t): list(p) for t, p in sorted(g.open.items())}, "done": sorted(g.done)}
+        for job, g in sorted(found.jobs.items())
+    }
+
+
+def shape(value: object) -> object:
+    """The form of a value without its contents: what a reader that takes no unknown fields compares."""
+    if isinstance(value, dict):
+        return {k: shape(v) for k, v in value.items()}
+    return [type(v).__name__ for v in value] if isinstance(value, list) else type(value).__name__
+
+
+# -- formats ---------------------------------------------------------------------------------------------
+
+
+def test_records_of_production_are_read_and_written_back_as_they_were():
+    for value in GOLDEN["records"]:
+        record = records.decode(value)
+        assert records.encode(record) == value, "an old reader takes no other fields, and no fewer"
+        assert records.fitted(record, 2048) == value
+    array, daemon = (records.decode(value) for value in GOLDEN["records"][:2])
+    assert not array.over and daemon.spec.shape == "service" and daemon.spec.tasks == 6
+
+
+def test_rows_of_production_add_up_and_a_short_row_after_them_has_their_form():
+    found = golden_ledger()
+    assert told(found) == GOLDEN["state"]
+    assert [found.next, found.tail, found.next_attempt, [list(s) for s in found.slots(3)]] == GOLDEN["next"]
+    known = {key for _, _, row in GOLDEN["rows"] for key in row} | {"x", "c"}
+    rows = [tuple(row) for row in GOLDEN["rows"]]
+    stamp = 1000
+    for _ in range(120):
+        maker = ledger.RowMaker(found, found.next, found.dead_before(), found.next_attempt, 2048)
+        maker.snapshots()
+        slot, _ = found.slots(1)[0]
+        value = orjson.loads(orjson.dumps(maker.finish()))
+        assert set(value) <= known, "an old reader takes no unknown field"
+        assert len(orjson.dumps(value)) <= 2048
+        stamp += 1
+        found.take(slot, stamp, value)
+        rows = [row for row in rows if row[0] != slot] + [(slot, stamp, value)]
+    assert told(found) == GOLDEN["state"]
+    fresh = ledger.Ledger(GOLDEN["layout_bytes"])
+    fresh.rebuild(rows)
+    assert told(fresh) == GOLDEN["state"]
+    assert max(len(orjson.dumps(value)) for _, _, value in rows if value["n"] >= fresh.tail) <= 2048
+
+
+def test_relay_texts_summaries_status_and_answers_of_production_are_read_and_still_written_so():
+    name, reports = reports_in(Row("b/relay/n2/0", GOLDEN["relay"], 5), GOLDEN["relay"]["at"])
+    assert name == "n2" and [msgspec.to_builtins(r) for r in reports] == [GOLDEN["report"]]
+    assert mesh.pack_reports(reports, 2000) == [GOLDEN["relay"]["reports"]]
+    rows = [Row(key, value, 5) for key, value in GOLDEN["summary"]]
+    assert summary.newest(rows, 0.0) == {"vm-000231": ["img-07", "img-1"], "vm-000232": ["img-1"]}
+    picture = [("vm-000231", 0.5, ["img-07", "img-1"]), ("vm-000232", 0.0, ["img-1"])]
+    assert [[p.key, p.value] for p in summary.encode("n2", 1700000003.0, picture, 2048, 0)] == GOLDEN[
+        "summary"
+    ]
+    status = mesh.decode_status(orjson.dumps(GOLDEN["status"]))
+    assert (status.member, status.token, status.served, status.release) == ("n2", 7, True, 1)
+    ours = orjson.loads(mesh.encode_status(mesh.Status("n2", 7, "n2", True, mesh.RELEASE)))
+    assert {k: ours[k] for k in GOLDEN["status"]} == GOLDEN["status"]
+    orders = [workers.Start("req-000412/4", 2), workers.Halt("req-000377/1", 1, 10.0)]
+    assert orjson.loads(workers.answer(7, [*orders, workers.Reap("req-000398/0", 1)])) == GOLDEN["answer"]
+    assert orjson.loads(workers.redirect("n2")) == GOLDEN["redirect"]
+
+
+def test_the_map_and_the_members_keep_the_form_that_an_old_controller_compares():
+    w = quiet(nodes=2)
+    assert shape(w.state.rows["b/map"][0]).keys() == shape(GOLDEN["map"]).keys()
+    for name in w.nodes:
+        assert isinstance(w.state.rows[f"b/member/{name}"][0], str) and isinstance(GOLDEN["member"], str)
+
+
+def test_a_map_with_many_teams_is_cut_to_what_every_version_reads():
+    w = quiet(nodes=2)
+    node = w.nodes["n0"]
+    node.membership._teams = [f"team-{n:03d}-of-a-long-name" for n in range(200)]
+    node.limits.value_bytes = w.state.value_bytes = 1024
+    assert node.membership.claim("n0")
+    value = w.state.rows["b/map"][0]
+    owner = next(iter(value["owners"].values()))  # as production reads it
+    assert owner == "n0" and value["members"][owner] == node.incarnation
+    w.step()
+    assert w.owner() == "n0"
+
+
+# -- limits ----------------------------------------------------------------------------------------------
+
+
+def test_the_smaller_of_both_limits_is_kept_to_and_each_may_be_absent_or_larger():
+    state = quiet().settings("n0").facts.state
+    coming = msgspec.convert({"value_kb": 2.0, "txn_ops": 40}, type(state).__annotations__["next"])
+    limits = Limits(msgspec.structs.replace(state, next=coming))
+    assert (limits.value_bytes, limits.txn_ops, limits.write_rps, limits.layout_bytes) == (
+        2048,
+        12,
+        1000.0,
+        8192,
+    )
+
+
+@pytest.mark.parametrize("known", [True, False])
+def test_limits_that_fall_under_full_load_stop_nothing(known):
+    """Unless it is known beforehand, what is refused for its size must not be tried for ever as it is."""
+    w = quiet(machines=0, value_kb=1.5, coming="value_kb = 0.5\ntxn_ops = 4" if known else "")
+    for _ in range(4):
+        w.machine()
+    w.submit("n0", w.job(1, parts=200, crew="blue", cpus=0.25))
+    w.submit("n0", w.daemon(2, loaners=True))
+    for _ in range(4):
+        w.step()
+    w.state.value_bytes, w.state.txn_ops = 512, 4
+    for _ in range(40):
+        for part in running(w):
+            if part.startswith("req-000001"):
+                w.finish(part)
+        w.step()
+    assert w.query("n0", "req-000001") == "done"
+    assert [p for p in running(w) if p.startswith("req-000002")] == ["req-000002/0", "req-000002/1"]
+    assert w.cancel("n0", "req-000002") == "aborted"
+    for _ in range(4):
+        w.step()
+    assert running(w) == []
+    assert (w.state.refused == 0) is known
+    assert w.state.refused < 12
+
+
+def test_a_record_accepted_under_the_old_limit_is_rewritten_in_what_fits():
+    long = "x" * 190
+    w = quiet(machines=2, value_kb=2.0)
+    w.submit("n0", w.job(1, lane=long, bundle=long, cpus=4.0))
+    w.submit("n0", w.job(2, lane=long, bundle=long))
+    for _ in range(3):
+        w.step()
+    w.state.value_bytes = 400
+    assert w.cancel("n0", "req-000002") is None, "refused as it stands"
+    w.nodes["n0"].limits.value_bytes = 400
+    assert w.cancel("n0", "req-000002") == "aborted"
+    for part in running(w):
+        w.finish(part)
+    for _ in range(6):
+        w.step()
+        for part in running(w):
+            w.finish(part)
+    assert w.query("n0", "req-000001") == "done"
+    w.boot("n0")  # and what is left of it is still read
+    for _ in range(12):
+        w.step()
+    assert w.query("n0", "req-000001") == "done"
+    assert w.query("n0", "req-000002") == "aborted"
+
+
+def test_a_submission_that_can_not_be_kept_under_the_limit_to_come_is_refused_for_good():
+    w = quiet(coming="value_kb = 0.5")
+    status, body = w.nodes["n0"].submit(w.job(1, lane="x" * 200, bundle="é" * 200))
+    assert status == 400 and b"bytes" in body
+    assert w.nodes["n0"].query("req-000001")[0] == 404
+    assert w.submit("n0", w.job(2)) == 201
+
+
+def test_a_relay_row_that_is_refused_does_not_keep_the_others_from_being_written():
+    w = quiet()
+    node = w.nodes["n0"]
+    w.state.txn_ops, w.state.value_bytes = 2, 300
+    node._put_all([summary.Put(f"b/relay/n0/{n}", {"at": 1.0, "reports": "x" * size}) for n, size in
+                   enumerate([10, 20, 900, 30])])  # fmt: skip
+    assert [k for k in w.state.rows if k.startswith("b/relay")] == [
+        "b/relay/n0/0",
+        "b/relay/n0/1",
+        "b/relay/n0/3",
+    ]
+
+
+def test_a_summary_is_written_value_by_value_and_a_refusal_costs_one():
+    """All values at once, tried again and again on credit, took the whole rate: nothing was committed for 66
+    s."""
+    w = quiet(machines=40, value_kb=0.5, writes=15.0)
+    node = w.nodes["n0"]
+    for worker in w.workers.values():
+        w.report(worker)
+    before = node.writes.available()
+    w.state.refuses.add("n0")
+    for _ in range(20):
+        w.try_(node.summary_step)
+    assert before - node.writes.available() <= 20
+    w.state.refuses.clear()
+    rows = len([k for k in w.state.rows if k.startswith(records.SUMMARIES)])
+    node.summary_step()
+    assert len([k for k in w.state.rows if k.startswith(records.SUMMARIES)]) <= rows + 1
+
+
+def test_the_layout_outlives_settings_with_a_new_limit():
+    """The number of a block follows from the size of a value once and for all; read with another, the
+    snapshots of tasks that run would name other tasks."""
+    w = quiet(machines=0, value_kb=1.5)
+    for _ in range(4):
+        w.machine()
+    w.submit("n0", w.job(1, parts=60, crew="blue", cpus=0.25))
+    w.submit("n0", w.daemon(2, loaners=True))
+    for _ in range(60):
+        w.step()
+        for part in running(w):
+            if part.startswith("req-000001") and w.rng.random() < 0.1:
+                w.finish(part)
+    before = w.nodes["n0"].mirror.with_ledger(told)
+    assert any("s" in row[0] for key, row in w.state.rows.items() if key.startswith(records.LOG))
+    w.value_kb = 0.6
+    node = w.boot("n0")
+    assert node.limits.value_bytes == 614
+    assert node.mirror.with_ledger(told) == before
+    for _ in range(30):
+        w.step()
+        for part in running(w):
+            if part.startswith("req-000001"):
+                w.finish(part)
+    assert w.query("n0", "req-000001") == "done"
+
+
+# -- who takes over --------------------------------------------------------------------------------------
+
+
+def upgrading(machines: int = 2) -> World:
+    """Three old controllers, an old owner, and work that runs."""
+    w = World(3, coming=COMING, old=["n0", "n1", "n2"])
+    for _ in range(machines):
+        w.machine()
+    w.submit("n0", w.job(1, parts=3))
+    for _ in range(4):
+        w.step()
+    assert w.owner() == "n0" and len(running(w)) == 3
+    return w
+
+
+def renew(w: World, name: str) -> None:
+    """It is killed and comes back with the new version, a while later."""
+    del w.nodes[name]
+    for _ in range(8):
+        w.step()
+    w.old.discard(name)
+    w.boot(name)
+
+
+def test_the_first_new_controller_takes_over_from_an_old_owner_and_it_is_the_only_takeover():
+    w = upgrading()
+    token = w.nodes["n0"].membership.view.token
+    for name in ("n2", "n1", "n0"):
+        renew(w, name)
+        for _ in range(20):
+            w.step()
+        assert w.owner() == "n2", "not handed to one that is still to go, nor back"
+        assert len(running(w)) == 3
+    assert w.nodes["n2"].membership.view.token == token + 1
+    assert not w.nodes["n0"].elders() and not w.nodes["n2"].elders()
+
+
+def test_no_takeover_from_an_old_owner_while_anybody_is_out_of_reach():
+    w = upgrading()
+    w.mesh_cut.add("n1")
+    renew(w, "n2")
+    for _ in range(20):
+        w.step()
+    assert w.owner() == "n0"
+    w.mesh_cut.clear()
+    for _ in range(4):
+        w.step()
+    assert w.owner() == "n2"
+
+
+def test_a_new_controller_comes_before_an_old_one_when_the_owner_is_gone():
+    w = upgrading()
+    renew(w, "n1")
+    w.mesh_cut.add("n2")  # so that it does not take over while the owner lives
+    w.step()
+    new, old = w.nodes["n1"].membership, w.nodes["n2"].membership
+    assert new.turn() < old.turn() and new.turn() == 0.0
+    w.old.discard("n0")  # as if n0 were new, too
+    w.nodes["n1"]._releases["n0"] = 2
+    assert new.turn() > 0.0
+
+
+def test_a_controller_that_comes_back_old_within_an_instant_takes_nothing_and_loses_nothing():
+    w = upgrading()
+    renew(w, "n2")
+    for _ in range(20):
+        w.step()
+    assert w.owner() == "n2"
+    w.boot("n0")  # old, since its turn has not come
+    w.boot("n0")
+    for _ in range(10):
+        w.step()
+    assert w.owner() == "n2" and len(running(w)) == 3
+    # An old owner of what a new one wrote, and a new one of what an old one wrote.
+    del w.nodes["n2"], w.nodes["n1"]
+    for _ in range(12):
+        w.step()
+    assert w.owner() == "n0" and len(running(w)) == 3
+    w.submit("n0", w.job(2, parts=2))
+    for _ in range(4):
+        w.step()
+    w.old.clear()
+    for name in ("n1", "n2", "n0"):
+        w.boot(name)
+    for _ in range(16):
+        w.step()
+    assert len(running(w)) == 5
+    for part in running(w):
+        w.finish(part)
+    for _ in range(4):
+        w.step()
+    assert {w.query(name, f"req-00000{n}") for name in w.nodes for n in (1, 2)} == {"done"}
+
+
+def test_too_large_is_told_from_an_outage():
+    w = quiet()
+    w.state.value_bytes = 10
+    with pytest.raises(TooLarge):
+        w.nodes["n0"].store.commit({}, [summary.Put("b/x", "y" * 20)])
+    assert w.nodes["n0"].limits.value_bytes == 8192, "only a commit of the owner's teaches"
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -16,11 +16,11 @@
 from bayford.config import Settings, parse
 from bayford.coordination.controller import Controller
 from bayford.coordination.engine import Engine
-from bayford.protocol import jobs, workers
+from bayford.protocol import jobs, mesh, workers
 from bayford.protocol.cloud_api import CloudBusy, Listed, NoCapacity
 from bayford.scheduling.model import MachineType
 from bayford.scheduling.policy import Policy
-from bayford.storage.store import LeaseGone, Outcome, Put, Row, Unavailable, Unknown
+from bayford.storage.store import LeaseGone, Outcome, Put, Row, TooLarge, Unavailable, Unknown
 
 SETTINGS = """
 member = "{name}"
@@ -56,6 +56,7 @@
 write_rps = {writes}
 value_kb = {value_kb}
 txn_ops = 12
+{coming}
 [facts.cloud]
 rps = 3.0
 list_lag_s = 6.0
@@ -94,6 +95,9 @@
         self.held: list[tuple[dict[str, int], list[Put]]] = []
         self.lost: set[str] = set()  # nodes that get no answer at all
         self.sizes: list[int] = []
+        self.value_bytes = 1 << 20  # the limits that are in force
+        self.txn_ops = 1 << 20
+        self.refused = 0  # for their size
 
     def expire(self) -> None:
         for lease, (until, _) in list(self.leases.items()):
@@ -159,6 +163,11 @@
 
     def commit(self, conditions: dict[str, int], puts: list[Put]) -> Outcome:
         self._check()
+        if len(puts) > self.state.txn_ops or any(
+            put.value is not None and len(orjson.dumps(put.value)) > self.state.value_bytes for put in puts
+        ):
+            self.state.refused += 1
+            raise TooLarge("400")
         if puts and self.node in self.state.hold:
             self.state.hold.discard(self.node)
             self.state.held.append((dict(conditions), list(puts)))
@@ -302,7 +311,18 @@
 class World:
     """Everything together, and the watch over PROTOCOL's rules."""
 
-    def __init__(self, nodes: int = 1, value_kb: float = 8.0, writes: float = 1000.0, seed: int = 1) -> None:
+    def __init__(
+        self,
+        nodes: int = 1,
+        value_kb: float = 8.0,
+        writes: float = 1000.0,
+        seed: int = 1,
+        coming: str = "",
+        old: Iterable[str] = (),
+    ) -> None:
+        """`coming`: the settings' `state.next`, in TOML. `old`: nodes of the first release; they know of no
+        limits to come and don't say what they run. (Their formats are in tests/fixtures, their code is
+        not.)"""
         self.clock = Clock()
         self.state = FakeState(self.clock)
         self.lease_s = 12.0
@@ -310,6 +330,8 @@
         self.rng = random.Random(seed)
         self.value_kb = value_kb
         self.write_rps = writes
+        self.coming = coming
+        self.old = set(old)
         self.workers: dict[str, Worker] = {}
         self.specs: dict[str, Any] = {}
         self.rented = 0
@@ -338,7 +360,11 @@
 
     def settings(self, name: str) -> Settings:
         zone = "south" if name == "n1" else "north"
-        return parse(SETTINGS.format(name=name, zone=zone, writes=self.write_rps, value_kb=self.value_kb))
+        coming = f"[facts.state.next]\n{self.coming}" if self.coming and name not in self.old else ""
+        text = SETTINGS.format(
+            name=name, zone=zone, writes=self.write_rps, value_kb=self.value_kb, coming=coming
+        )
+        return parse(text)
 
     def boot(self, name: str, policy: Policy | None = None) -> Controller:
         """(Re)start a controller with nothing in memory."""
@@ -369,6 +395,7 @@
         node = Controller(
             settings, engine, StateOf(self.state, name), self, f"i{self.incarnations}", peers,
             clock=self.clock, wall=self.clock.wall, pause=pause, threaded=False,
+            release=1 if name in self.old else mesh.RELEASE,
         )  # fmt: skip
         engine.set_types(self.catalog())
         self.nodes[name] = node
@@ -476,6 +503,11 @@
 
     # -- users -----------------------------------------------------------------------------------------
 
+    def daemon(self, number: int, **fields: Any) -> bytes:
+        """A service of two replicas that the users' new page allows."""
+        new = {"lane": "desk", "shape": "daemon", "rank": "critical", "loaners": False, "guess_s": 0.0}
+        return self.job(number, **new | fields)
+
     def job(self, number: int, **fields: Any) -> bytes:
         body = {
             "id": f"req-{number:06d}", "lane": "sweep", "crew": "red", "shape": "batch", "rank": "normal",
