--- a/bayford/coordination/membership.py
+++ b/bayford/coordination/membership.py
@@ -149,8 +149,8 @@
             self._orphan_since = None
 
     def turn(self) -> float:
-        """How long to leave a vacant map to those before us: one after the other, since all see it at once. In
-        an upgrade the older releases are still to go, so who is new already comes first."""
+        """How long to leave a vacant map to those before us: one after the other, since all see it at once.
+        In an upgrade the older releases are still to go, so who is new already comes first."""
         elders = self._elders()
         order = sorted(self.live(), key=lambda name: (name in elders, name))
         alone = LONELY_S if lonely(self.name, self._zones) else 0.0
--- a/bayford/coordination/rounds.py
+++ b/bayford/coordination/rounds.py
@@ -39,6 +39,7 @@
             for machine in self.noticed.values():
                 self._drain(machine, now)
             queue = self._queue(now)
+            self._make_quota(now)
             if not queue:
                 return
             self._place_all(queue, now)
@@ -287,13 +288,10 @@
         if now < self.preempt_at:
             return
         wanting = self._wanting(queue, now)
-        short = self._short_of_quota(now)
-        if not wanting and not short:
+        if not wanting:
             return
         self.preempt_at = now + PREEMPT_EVERY_S
         budget = self.policy.preempt_per_round
-        for job, need in short:
-            budget -= self._give_way(job, need, now, budget)
         after = [dataclasses.replace(share) for share in self.shares]  # once the stops are through
         busy = set()
         for place in self.halting:
@@ -336,20 +334,18 @@
             if not job.standing
         )
 
-    def _short_of_quota(self, now: float) -> list[tuple[Job, int]]:
-        """Services that their team's limit keeps from running while the team runs work of lower priority, and
-        how many replicas they lack."""
-        out = []
+    def _make_quota(self, now: float) -> None:
+        """Have services run that their team's limit keeps from it while the team runs work of lower
+        priority."""
         for job in self.jobs.values():
             if job.standing and job.waiting and not job.cancelled and job.not_before <= now:
                 lacking = len(job.waiting) - self.shares[job.team].room(job.spec)
                 if lacking > 0:
-                    out.append((job, lacking))
-        return sorted(out, key=lambda entry: (-entry[0].spec.priority, entry[0].created))
+                    self._give_way(job, lacking, now)
 
-    def _give_way(self, job: Job, need: int, now: float, budget: int) -> int:
-        """Stop work of the same team and of lower priority until `need` replicas fit under the team's limit;
-        how many stops that took. First what runs where a replica may go, of that what loses least."""
+    def _give_way(self, job: Job, need: int, now: float) -> None:
+        """Stop work of the same team and of lower priority until `need` replicas fit under the team's limit:
+        first what runs where a replica may go, of that what loses least. What stops already counts."""
         spec = job.spec
         cpus, gpus = need * spec.cpus, need * spec.gpus
         victims = []
@@ -366,7 +362,7 @@
                 victims.append((not there, other.spec.priority, loss, place.key, place))
         stops = 0
         for *_, place in sorted(victims, key=lambda v: v[:4]):
-            if stops >= budget or (cpus <= EPS and gpus <= EPS):
+            if stops >= self.policy.preempt_per_round or (cpus <= EPS and gpus <= EPS):
                 break
             gives = place.job.spec
             if (cpus > EPS and gives.cpus > 0) or (gpus > EPS and gives.gpus > 0):
@@ -375,7 +371,6 @@
                 stops += 1
         if stops:
             log.info("job %s waits for its team's limit: stopping %d tasks of the team", spec.id, stops)
-        return stops
 
     def _wanting(self, queue: list[Job], now: float) -> list[tuple[Job, int, int]]:
         """Whose waiting work may push others out, how many tasks of it, and how many that is owed."""
--- /dev/null
+++ b/tests/test_services.py
@@ -0,0 +1,290 @@
+"""Services: replicas that run until they are called off, and what takes them down meanwhile."""
+
+import pytest
+from test_stories import quiet, running
+from world import World
+
+from bayford.scheduling import fleet, placement
+from bayford.scheduling.model import Machine
+from bayford.storage import records
+
+
+def ordinary(machines: int = 3, **world_fields) -> World:
+    """A world with ordinary machines reporting."""
+    w = World(1, **world_fields)
+    for n in range(machines):
+        w.machine("small", "north" if n % 2 else "south", spot=False)
+    for _ in range(3):
+        w.step()
+    return w
+
+
+def steps(w: World, count: int, seconds: float = 0.5) -> None:
+    for _ in range(count):
+        w.step(seconds)
+
+
+def where(w: World, job: str = "req-000001") -> dict[str, list[str]]:
+    """Machine -> the job's replicas there."""
+    found = {name: [p for p in x.running() if p.startswith(job)] for name, x in w.workers.items()}
+    return {name: parts for name, parts in found.items() if parts}
+
+
+def test_a_service_is_pending_or_running_until_it_is_cancelled_whatever_its_replicas_report():
+    w = ordinary()
+    assert w.submit("n0", w.daemon(1)) == 201
+    assert w.query("n0", "req-000001") == "pending"
+    steps(w, 3)
+    for _ in range(40):
+        assert w.query("n0", "req-000001") in ("pending", "running")
+        for part in running(w):
+            for worker in w.workers.values():
+                worker.finish(part, "done")
+        w.step(5.0)
+    assert w.cancel("n0", "req-000001") == "aborted"
+    steps(w, 4)
+    assert running(w) == [] and w.query("n0", "req-000001") == "aborted"
+
+
+def test_replicas_are_spread_over_machines_and_zones():
+    w = ordinary(4)
+    w.submit("n0", w.daemon(1, parts=4, crew="blue"))
+    steps(w, 4)
+    assert [len(parts) for parts in where(w).values()] == [1, 1, 1, 1]
+    w.submit("n0", w.daemon(2, parts=2))
+    steps(w, 4)
+    zones = {w.workers[name].zone for name in where(w, "req-000002")}
+    assert zones == {"north", "south"}
+
+
+def test_a_replica_that_ends_runs_again_at_once_and_one_that_can_not_run_holds_back_no_other():
+    w = ordinary(3)
+    w.submit("n0", w.daemon(1, parts=3))
+    steps(w, 4)
+    assert len(running(w)) == 3
+    ends = 0
+    for _ in range(60):
+        for worker in w.workers.values():
+            if "req-000001/1" in worker.running():
+                worker.finish("req-000001/1", "done")
+                ends += 1
+        w.step()
+        assert {"req-000001/0", "req-000001/2"} <= set(running(w)), "the healthy ones go on"
+    assert 3 <= ends <= 9, f"{ends} starts in 30 s: at once at first, then ever more seldom"
+    steps(w, 80)
+    assert len(running(w)) == 3, "and it is tried again"
+
+
+def test_a_machine_that_fails_what_it_starts_gets_no_replica_and_those_on_it_go_on():
+    w = ordinary(3)
+    w.submit("n0", w.daemon(1, parts=1, cpus=1.0))
+    steps(w, 16)
+    sick = w.workers[next(iter(where(w)))]
+    sick.fails = True
+    for number in (2, 3, 4):
+        w.submit("n0", w.daemon(number, parts=2, cpus=0.5))
+    for _ in range(30):
+        w.step()
+        w.fleet("n0")
+    assert len(running(w)) == 7
+    assert sick.running() == ["req-000001/0"], "what runs there runs"
+    assert sick.name not in w.deleted
+    w.cancel("n0", "req-000001")
+    for _ in range(20):
+        w.step()
+        w.fleet("n0")
+    assert sick.name in w.deleted
+
+
+def test_a_replica_of_a_lost_machine_runs_elsewhere_after_the_machine_is_surely_gone():
+    w = ordinary(3)
+    w.submit("n0", w.daemon(1))
+    steps(w, 4)
+    name = next(iter(where(w)))
+    lost = w.workers[name]
+    w.cut.add((name, "n0"))
+    for _ in range(60):
+        w.step()
+        w.fleet("n0")
+        if name not in w.workers:
+            break
+        assert len(running(w)) == 2 or not lost.running(), "started elsewhere only once it is gone"
+    steps(w, 4)
+    assert len(running(w)) == 2 and name in w.deleted
+
+
+@pytest.mark.parametrize("owned", [True, False])
+def test_a_service_takes_room_from_work_of_lower_priority_also_under_its_teams_limit(owned):
+    """Of its own team, when the limit is what binds; of others, when the machines are full."""
+    w = ordinary(2 if not owned else 4)
+    w.submit("n0", w.job(1, crew="red" if owned else "blue", parts=40))
+    steps(w, 4)
+    assert len(running(w)) == 8
+    w.submit("n0", w.daemon(2, crew="red", parts=3))
+    steps(w, 6)
+    assert len(where(w, "req-000002")) >= 2 and len(running(w)) == 8
+    assert sum(p.startswith("req-000002") for p in running(w)) == 3
+    steps(w, 20)
+    assert sum(p.startswith("req-000002") for p in running(w)) == 3, "and keeps it"
+
+
+def test_what_a_service_can_never_get_is_422():
+    w = ordinary()
+    node = w.nodes["n0"]
+    assert node.submit(w.daemon(1, parts=9))[0] == 422, "all its tasks together, in CPUs"
+    assert node.submit(w.daemon(1, parts=3, crew="blue", cards=1.0))[0] == 422, "and in cards"
+    assert node.submit(w.daemon(1, cpus=5.0, builds=["small"]))[0] == 422
+    assert node.submit(w.daemon(1, apart=True, yard="north"))[0] == 422, "half of them elsewhere"
+    assert node.submit(w.daemon(1, apart=True, together=True))[0] == 422
+    assert node.submit(w.daemon(1, apart=True, crew="blue", cards=1.0))[0] == 422, "cards are in one zone"
+    assert node.submit(w.daemon(1, apart=True, parts=1, yard="north"))[0] == 201
+    assert node.submit(w.job(2, apart=True, yard="north"))[0] == 201, "an array's may follow one another"
+
+
+def test_fields_that_mean_nothing_to_a_service_do_no_harm():
+    w = ordinary()
+    w.submit("n0", w.daemon(1, due_s=5.0, bookmark_s=10.0, stash_s=2.0, guess_s=30.0))
+    steps(w, 60)
+    assert w.query("n0", "req-000001") == "running" and len(running(w)) == 2
+
+
+@pytest.mark.parametrize("state", ["running", "resting", "in flight", "silent"])
+def test_a_cancelled_service_is_gone_in_time_whatever_its_replicas_are_doing(state):
+    w = ordinary()
+    w.submit("n0", w.daemon(1))
+    if state == "in flight":
+        node = w.nodes["n0"]
+        node.mirror.pull(0.0)
+        node.engine.round()
+        node.commit_once()
+    else:
+        steps(w, 4)
+    if state == "resting":
+        for _ in range(4):
+            for part in running(w):
+                for worker in w.workers.values():
+                    worker.finish(part, "error")
+            w.step()
+    if state == "silent":
+        w.cut |= {(name, "n0") for name in where(w)}
+    assert w.cancel("n0", "req-000001") == "aborted"
+    for _ in range(100):
+        w.step()  # checks `cancel_s`
+        w.fleet("n0")
+    assert running(w) == [] and not w.nodes["n0"].engine.jobs
+
+
+def test_a_takeover_keeps_what_runs_and_starts_what_is_missing():
+    w = World(3)
+    for _ in range(3):
+        w.machine("small", "north", spot=False)
+    steps(w, 3)
+    w.submit("n0", w.daemon(1, parts=3))
+    steps(w, 4)
+    before = where(w)
+    w.workers[next(iter(before))].finish("req-000001/0", "error")
+    del w.nodes[w.owner()]
+    steps(w, 14)
+    after = where(w)
+    assert sorted(p for parts in after.values() for p in parts) == [f"req-000001/{n}" for n in range(3)]
+
+
+def test_a_replica_that_ends_for_ever_grows_neither_the_ledger_nor_the_memory():
+    w = ordinary(2, value_kb=1.0)
+    w.submit("n0", w.daemon(1))
+    engine = w.nodes["n0"].engine
+    rows = []
+    for n in range(600):
+        for worker in w.workers.values():
+            for part in worker.running():
+                worker.finish(part, "halted" if n % 2 else "error")
+        w.step(2.0)
+        rows.append(sum(key.startswith(records.LOG) for key in w.state.rows))
+    assert max(rows[300:]) <= max(rows[:300]) <= 60
+    job = engine.jobs["req-000001"]
+    progress = w.nodes["n0"].mirror.with_ledger(lambda ledger: ledger.jobs["req-000001"])
+    assert len(job.failed_on) <= 8 and len(job.ends) <= 2 and len(progress.told) <= 2
+    assert len(engine.standing_jobs) <= 1
+    for worker in w.workers.values():
+        worker.fails = False
+    steps(w, 80)
+    changed = w.state.rows.copy()
+    steps(w, 200)
+    log = [k for k, row in w.state.rows.items() if k.startswith(records.LOG) and changed.get(k) != row]
+    assert len(running(w)) == 2 and not log, "what runs and does not change is not written again"
+
+
+def test_room_is_rented_for_services_before_they_come_and_kept_while_they_stand():
+    w = ordinary(0)
+    engine = w.nodes["n0"].engine
+    engine.standing_classes = {"desk"}  # as the aims of a site with services name them
+    w.fleet("n0")
+    assert [(x.kind.name, x.spot) for x in w.workers.values()] == [("small", False)] * 4
+    steps(w, 3)
+    w.submit("n0", w.job(1, parts=30, crew="blue", loaners=True))
+    steps(w, 4)
+    assert len(running(w)) == 16, "work that may run anywhere runs there meanwhile"
+    w.submit("n0", w.daemon(2, parts=2, cpus=4.0))
+    steps(w, 6)
+    assert len(where(w, "req-000002")) == 2
+    w.fleet("n0")
+    steps(w, 4)
+    assert sum(not x.spot for x in w.workers.values()) > 4, "the reserve grows with what stands"
+    w.cancel("n0", "req-000002")
+    w.cancel("n0", "req-000001")
+    engine.standing_classes = set()
+    for _ in range(200):
+        w.step(1.0)
+        w.fleet("n0")
+    assert not w.workers, "and goes when nothing stands any more"
+
+
+def test_what_stands_is_held_by_so_many_machines_of_each_kind():
+    w = quiet()
+    types = w.nodes["n0"].engine.types
+    small, cards = fleet.Option(0, 0, False), fleet.Option(1, 0, False)
+    group = fleet.Group(frozenset({small, cards}), {0: 6.0, 1: 3.0})
+    none: frozenset[fleet.Option] = frozenset()
+    assert [(r.option, r.count) for r in fleet.for_services([group], types, {}, none)] == [(small, 6)]
+    got = fleet.for_services([group], types, {small: 3}, none)
+    assert [(r.option, r.count) for r in got] == [(small, 3)]
+    got = fleet.for_services([group], types, {small: 3}, frozenset({small}))
+    assert [(r.option, r.count) for r in got] == [(cards, 2)], "another kind where the first is refused"
+    assert fleet.for_services([group], types, {small: 3, cards: 2}, none) == []
+
+
+def test_a_replica_goes_where_its_image_is_but_not_beside_another_of_its_job():
+    w = quiet()
+    node = w.nodes["n0"]
+    w.submit("n0", w.daemon(1))
+    node.mirror.pull(0.0)
+    job = node.engine.jobs["req-000001"]
+    has = Machine(0, "has", images={job.image: True}, free_cpus=4.0)
+    busy = Machine(1, "busy", images={99: False}, free_cpus=4.0)
+    free = Machine(2, "free", free_cpus=4.0)
+    order = sorted([free, busy, has], key=lambda m: placement.shelter(job, m, {}, 4.0))
+    assert [m.name for m in order] == ["has", "free", "busy"]
+    has.heard = 100.0
+    assert placement.steady(has, 101.0, 5.0) and not placement.steady(has, 106.0, 5.0), "not if silent"
+    has.failed_jobs["req-000009"] = 1
+    assert not placement.steady(has, 101.0, 5.0), "nor where something has just failed"
+
+
+def test_the_balancer_moves_a_replica_for_no_lesser_work_and_only_to_its_image():
+    w = ordinary(1)
+    w.capacity = 0
+    w.submit("n0", w.daemon(1, crew="blue", parts=1))
+    steps(w, 16)
+    here = next(iter(where(w)))
+    w.machine("cards", "north", spot=False)
+    steps(w, 3)
+    w.submit("n0", w.job(2, crew="blue", parts=1, cpus=4.0, builds=["small"], rank="urgent"))
+    steps(w, 30)
+    assert list(where(w)) == [here], "no gap for what may wait"
+    w.submit("n0", w.daemon(3, crew="blue", parts=1, cpus=4.0, builds=["small"]))
+    steps(w, 30)
+    assert list(where(w)) == [here], "nor one as long as a fetch"
+    w.submit("n0", w.daemon(4, crew="blue", parts=1, cpus=0.5, builds=["cards"]))  # it brings the image there
+    steps(w, 30)
+    assert list(where(w)) != [here] and list(where(w, "req-000003")) == [here]
+    assert w.nodes["n0"].engine.moves == 1
