--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -484,6 +484,8 @@
         self._touch(job, place.task)
         if job.cancelled:
             self._settle_job(job)
+        elif job.standing and place.running_since is not None:
+            job.down[place.task] = (now, now - machine.heard)
 
     @property
     def proven_at(self) -> float:
--- a/bayford/coordination/reports.py
+++ b/bayford/coordination/reports.py
@@ -136,9 +136,21 @@
             if place.running_since is None:
                 place.running_since = now
                 self._use_image(machine, place.job, there=True)
+                if place.job.standing and place.placed_at:
+                    self._up(machine, place, now)
         elif state.phase == workers.ENDED:
             self._ended(machine, place, state, now)
 
+    def _up(self, machine: Machine, place: Placement, now: float) -> None:
+        """Say how long a replica was away, and of what that was made up."""
+        job = place.job
+        since, unknown = job.down.pop(place.task, (job.created, 0.0))
+        log.info(
+            "replica %s up on %s after %.1f s: %.1f unnoticed, %.1f until placed, %.1f start and fetch",
+            place.part, machine.name, unknown + now - since, unknown, place.placed_at - since,
+            now - place.placed_at,
+        )  # fmt: skip
+
     def _ended(self, machine: Machine, place: Placement, state: workers.TaskState, now: float) -> None:
         job = place.job
         self._close(machine, place, now)
--- a/bayford/coordination/rounds.py
+++ b/bayford/coordination/rounds.py
@@ -266,6 +266,7 @@
         self._book(job, machine, place)
         self._touch(job, task)
         place.on_turn = on_turn
+        place.placed_at = now
         job.placed_at = now
         self._use_image(machine, job, there=False)
         if machine.kept_for == job.spec.id:
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -100,6 +100,7 @@
     machine: int
     session: int
     part: str  # the task's name
+    placed_at: float = 0.0
     durable: bool = False  # committed: only then may its start go out
     started: bool = False  # the machine has been seen with it
     running_since: float | None = None
@@ -142,6 +143,8 @@
     # Replicas of a service that ended: how often in a row, and until when those that end again and again
     # rest. Each by itself, so that one that can't run keeps none of the others.
     ends: dict[int, int] = field(default_factory=dict)
+    # Replicas that were up and are not: since when that was known, and for how long it was not known by then.
+    down: dict[int, tuple[float, float]] = field(default_factory=dict)
     resting: dict[int, float] = field(default_factory=dict)
     cheap_hosts: bool = True  # whether the fleet has cheap machines that it may run on
     why_waiting: str = ""
