--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -211,7 +211,8 @@
             if job.standing and not job.cancelled:
                 known.append(self._options(job))
                 count(known[-1], job.spec, job.spec.tasks * (1.0 + self.policy.standing_share))
-        since = now - self.policy.standing_memory_s
+        boot = min((kind.boot_s for kind in self.types if kind.zones), default=0.0)
+        since = now - self.policy.standing_boots * boot
         self.standing_jobs = [entry for entry in self.standing_jobs if entry[0] > since]
         for _, spec in self.standing_jobs:
             lately = self.jobs.get(spec.id)
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -31,7 +31,7 @@
     # services
     standing_share: float = 0.15
     standing_floor: float = 16.0
-    standing_memory_s: float = 30.0
+    standing_boots: float = 1.5
     standing_quiet: float = 2.5
     # failing runs
     job_fault_machines: int = 3
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -128,6 +128,20 @@
     assert sum(p.startswith("req-000002") for p in running(w)) == 3, "and keeps it"
 
 
+def test_a_service_is_no_victim_of_another_whose_team_is_owed():
+    """Its team was beyond its guarantee for the arrays beside it; the service was stopped and away for 9 s."""
+    w = ordinary(3)
+    w.capacity = 0
+    w.submit("n0", w.daemon(1, crew="red", parts=4, cpus=2.0))
+    steps(w, 4)
+    before = where(w)
+    assert w.nodes["n0"].engine.shares[0].beyond
+    w.submit("n0", w.daemon(2, crew="blue", parts=3, cpus=2.0))
+    steps(w, 30)
+    assert where(w) == before
+    assert len(running(w)) == 6, "what is left goes to the other"
+
+
 def test_what_a_service_can_never_get_is_422():
     w = ordinary()
     node = w.nodes["n0"]
