--- a/bayford/scheduling/preemption.py
+++ b/bayford/scheduling/preemption.py
@@ -31,8 +31,8 @@
     if waiting.spec.priority > running.spec.priority:
         return True
     if running.standing:
-        # Its team is beyond its guarantee for the work that ends beside it, perhaps; and a gap in one service is
-        # no better than in another. Room is rented instead.
+        # Its team is beyond its guarantee for the work that ends beside it, perhaps; and a gap in one
+        # service is no better than in another. Room is rented instead.
         return False
     return owed and waiting.team != running.team and shares[running.team].beyond
 
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -129,7 +129,8 @@
 
 
 def test_a_service_is_no_victim_of_another_whose_team_is_owed():
-    """Its team was beyond its guarantee for the arrays beside it; the service was stopped and away for 9 s."""
+    """Its team was beyond its guarantee for the arrays beside it; the service was stopped and away for 9
+    s."""
     w = ordinary(3)
     w.capacity = 0
     w.submit("n0", w.daemon(1, crew="red", parts=4, cpus=2.0))
