--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -271,7 +271,9 @@
         for option, machine in self._fleet():
             if machine.notice is None:
                 fleet_now[option] = fleet_now.get(option, 0) + 1
-        rentals = fleet.for_services(groups, self.types, fleet_now, refused)
+        rentals = fleet.for_services(
+            groups, self.types, fleet_now, refused, any(need.standing for need in needs)
+        )
         for rental in rentals:
             spare[rental.option] = spare.get(rental.option, 0) + rental.count
         rentals += fleet.wanted(
--- a/bayford/coordination/rounds.py
+++ b/bayford/coordination/rounds.py
@@ -22,7 +22,6 @@
 
 KEEP_S = 4.0  # how long room that was made for a job is kept for it
 PREEMPT_EVERY_S = 0.25  # victims are looked for on all machines, so not in every round
-SECOND = 1e6  # what a second replica on a machine counts against it when victims are chosen
 PREEMPTING = 4  # jobs that room is made for at a time
 NO_ROOM = "no room on an allowed machine"
 
@@ -241,7 +240,10 @@
             hint = job.hints.pop(job.waiting[-1], None)
             best = min(
                 fit,
-                key=lambda m: (m.index != hint, *placement.shelter(job, m, zones, self._fetch_s(job, m))),
+                key=lambda m: (
+                    m.index != hint,
+                    *placement.shelter(job, m, zones, self._fetch_s(job, m), self.policy.spread_s),
+                ),
             )
             self._put(job, job.waiting.pop(), best, now, False)
             count -= 1
@@ -424,8 +426,9 @@
                 # The waiting task would first fetch its image there.
                 cost += self._fetch_s(waiting, machine) * waiting.spec.cpus * self.policy.fetch_weight
             if waiting.standing:
-                # A loss should take one replica of a job: a second one on a machine only for want of others.
-                cost += SECOND * sum(place.job is waiting for place in machine.open.values())
+                # A loss should take few replicas of a job.
+                here = sum(place.job is waiting for place in machine.open.values())
+                cost += self.policy.spread_s * here * waiting.spec.cpus * self.policy.fetch_weight
             out.append((cost, machine.index, got[0]))
         out.sort(key=lambda entry: entry[:2])
         return [found for _, _, found in out]
--- a/bayford/scheduling/fleet.py
+++ b/bayford/scheduling/fleet.py
@@ -128,29 +128,33 @@
     types: Sequence[MachineType],
     have: Mapping[Option, int],
     refused: frozenset[Option],
+    hurry: bool = False,
 ) -> list[Rental]:
-    """What to rent that the standing services and their reserve have room. `have`: the machines by kind,
-    those that are coming included."""
+    """What to rent that the standing services and their reserve have room.
+
+    `have`: the machines by kind, those that are coming included. Of equally dear ones those in the zone that
+    has least, so that the loss of a zone takes few replicas; in a `hurry` those that boot soonest.
+    """
     out: dict[Option, int] = {}
     for group in groups:
-        share = sum(
-            (have.get(o, 0) + out.get(o, 0)) / group.machines[o.type]
-            for o in group.options
-            if group.machines.get(o.type)
-        )
-        if share >= 1.0:
-            continue
-        choices = [
-            (types[o.type].price * group.machines[o.type], types[o.type].boot_s, o.type, o.zone, o)
-            for o in group.options - refused
-            if group.machines.get(o.type)
-        ]
-        if not choices:
+        zones: dict[int, float] = {}
+        share = 0.0
+        for option in group.options:
+            count = have.get(option, 0) + out.get(option, 0)
+            share += count / group.machines[option.type]
+            zones[option.zone] = zones.get(option.zone, 0.0) + types[option.type].cpus * count
+        if share >= 1.0 or not group.options - refused:
             continue
-        best = min(choices, key=lambda c: (round(c[0], 6), *c[1:4]))[4]
-        count = math.ceil((1.0 - share) * group.machines[best.type] - EPS)
-        if count > 0:
-            out[best] = out.get(best, 0) + count
+
+        def rank(o: Option, group: Group = group, zones: dict[int, float] = zones) -> tuple[float, ...]:
+            kind = types[o.type]
+            first = kind.boot_s if hurry else zones[o.zone]
+            return (round(kind.price * group.machines[o.type], 6), first, o.type, o.zone)
+
+        best = min(group.options - refused, key=rank)
+        lacking = math.ceil((1.0 - share) * group.machines[best.type] - EPS)
+        if lacking > 0:
+            out[best] = out.get(best, 0) + lacking
     return [Rental(option, min(50, count), "services") for option, count in out.items()]
 
 
--- a/bayford/scheduling/placement.py
+++ b/bayford/scheduling/placement.py
@@ -74,12 +74,15 @@
     return None
 
 
-def shelter(job: Job, machine: Machine, zones: dict[int, int], fetch_s: float) -> tuple[float, ...]:
+def shelter(
+    job: Job, machine: Machine, zones: dict[int, int], fetch_s: float, spread_s: float
+) -> tuple[float, ...]:
     """Smaller is better, for one replica of a service, which has to be up soon and to outlive a loss.
 
-    First a machine without a replica of the job, so that a loss takes one; then where the image is, or is
-    fetched soonest and alone; then the zone with the fewest replicas; then machines that have services
-    already, so that others can go back, and the fullest of these.
+    First where the image is, or is fetched soonest and alone, and where no replica of the job is yet, so
+    that a loss takes few: each that is there counts as `spread_s` more of fetching. Then the zone with the
+    fewest replicas; then machines that have services already, so that others can go back, and the fullest of
+    these.
     """
     here = sum(place.job is job for place in machine.open.values())
     fetching = any(not there for image, there in machine.images.items() if image != job.image)
@@ -87,7 +90,7 @@
     fetch = 0.0 if have else fetch_s * (0.7 if have is not None else 2.0 if fetching else 1.0)
     services = any(place.job.standing for place in machine.open.values())
     zone = zones.get(machine.zone, 0) if machine.zone is not None else 0
-    return (here, fetch, zone, 0.0 if services else 1.0, machine.free_cpus, machine.index)
+    return (fetch + here * spread_s, zone, 0.0 if services else 1.0, machine.free_cpus, machine.index)
 
 
 def steady(machine: Machine, now: float, quiet_s: float) -> bool:
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -30,9 +30,10 @@
     reserve_memory_s: float = 90.0
     # services
     standing_share: float = 0.15
-    standing_floor: float = 16.0
+    standing_floor: float = 40.0
     standing_boots: float = 1.5
     standing_quiet: float = 2.5
+    spread_s: float = 6.0
     # failing runs
     job_fault_machines: int = 3
     # answers to reports
