--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -96,7 +96,10 @@
         # Classes that the users' aims name and that may be services: how soon they start counts, how soon
         # they end does not. A job of another shape shows that its class is none.
         ends = {o.job_class for o in facts.objectives if o.kind in ("finished", "deadline")}
-        self.standing_classes = {o.job_class for o in facts.objectives if o.kind in ("wait", "up")} - ends
+        starts = [o for o in facts.objectives if o.kind in ("wait", "up") and o.job_class not in ends]
+        self.standing_classes = {o.job_class for o in starts}
+        # How soon a service's replicas have to run, as far as the aims say.
+        self.standing_within_s = min((o.within_s for o in starts if o.within_s), default=0.0)
         self._clear()
 
     def _clear(self) -> None:
--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -206,12 +206,14 @@
                 per = fleet.slots(kind, spec.cpus, spec.gpus, spec.mem_gb)
                 need[index] = need.get(index, 0.0) + tasks / max(1, per)
 
+        boot = min((kind.boot_s for kind in self.types if kind.zones), default=0.0)
+        # Where a service may take longer to start than a machine to boot, less has to be up beforehand.
+        hurry = min(1.0, boot / self.standing_within_s) if self.standing_within_s else 1.0
         known = []
         for job in self.jobs.values():
             if job.standing and not job.cancelled:
                 known.append(self._options(job))
                 count(known[-1], job.spec, job.spec.tasks * (1.0 + self.policy.standing_share))
-        boot = min((kind.boot_s for kind in self.types if kind.zones), default=0.0)
         since = now - self.policy.standing_boots * boot
         self.standing_jobs = [entry for entry in self.standing_jobs if entry[0] > since]
         for _, spec in self.standing_jobs:
@@ -228,7 +230,7 @@
             if options and not any(option.spot for option in options):
                 need = sizes.setdefault(options, {})
                 for index in {option.type for option in options}:
-                    floor = self.policy.standing_floor / max(1.0, self.types[index].cpus)
+                    floor = self.policy.standing_floor * hurry / max(1.0, self.types[index].cpus)
                     need[index] = need.get(index, 0.0) + floor
         return [fleet.Group(options, need) for options, need in sizes.items()]
 
