--- a/bayford/coordination/reports.py
+++ b/bayford/coordination/reports.py
@@ -144,7 +144,8 @@
     def _up(self, machine: Machine, place: Placement, now: float) -> None:
         """Say how long a replica was away, and of what that was made up."""
         job = place.job
-        since, unknown = job.down.pop(place.task, (job.created, 0.0))
+        # An owner before us may have seen it up: what is missing since we are owner is all that we know.
+        since, unknown = job.down.pop(place.task, (max(job.created, self.owner_since), 0.0))
         log.info(
             "replica %s up on %s after %.1f s: %.1f unnoticed, %.1f until placed, %.1f start and fetch",
             place.part, machine.name, unknown + now - since, unknown, place.placed_at - since,
