--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -1,5 +1,7 @@
 """Services: replicas that run until they are called off, and what takes them down meanwhile."""
 
+from pathlib import Path
+
 import pytest
 from test_stories import quiet, running
 from world import World
@@ -327,3 +329,14 @@
     steps(w, 30)
     assert list(where(w)) != [here] and list(where(w, "req-000003")) == [here]
     assert w.nodes["n0"].engine.moves == 1
+
+
+def test_the_readme_s_daemon_can_be_submitted_looked_at_and_called_off():
+    text = (Path(__file__).parent.parent / "README.md").read_text()
+    body = text.split("echo '")[1].split("' > daemon.json")[0].replace("TEAM", "red").encode()
+    w = ordinary()
+    assert w.submit("n0", body) == 201
+    assert w.query("n0", "req-web1") == "pending"
+    steps(w, 4)
+    assert w.query("n0", "req-web1") == "running" and len(running(w)) == 2
+    assert w.cancel("n0", "req-web1") == "aborted"
