--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -29,9 +29,9 @@
     reserve: float = 1.0
     reserve_memory_s: float = 90.0
     # services
-    standing_share: float = 0.15
+    standing_share: float = 0.05
     standing_floor: float = 40.0
-    standing_boots: float = 1.5
+    standing_boots: float = 0.75
     standing_quiet: float = 2.5
     spread_s: float = 6.0
     # failing runs
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -29,9 +29,9 @@
 # reserve_memory_s = 90.0    # what "lately" is
 
 # --- services (shape "daemon")
-# standing_share = 0.15      # ordinary machines are kept for so much more than the services that stand
+# standing_share = 0.05      # ordinary machines are kept for so much more than the services that stand
 # standing_floor = 40.0      # and for so many CPUs more, from the start where the aims name services
-# standing_boots = 1.5       # and for what was accepted within so many boot times once more
+# standing_boots = 0.75      # and for what was accepted within so many boot times once more
 # spread_s = 6.0             # a second replica on a machine counts as so much more fetching
 # standing_quiet = 2.5       # a replica goes to no machine unheard for so many times report_s
 
