--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -338,12 +338,10 @@
         # or the network: wait longer. A wave of spot machines taken shows in the cloud's list.
         known = [m for m in self.machines.values() if m.reported and not m.deleting]
         quiet_now = sum(now - max(m.heard, listening) > 2.5 * facts.report_s for m in known)
-        deaf = (
-            now - self.last_report > 3.0
-            or now - self.owner_since < facts.lease_s
-            or quiet_now > max(3, len(known) // 4)
-        )
+        blind = now - self.last_report > 3.0 or now - self.owner_since < facts.lease_s
+        deaf = blind or quiet_now > max(3, len(known) // 4)
         silent = facts.lease_s * (2.5 if deaf else 1.0) + facts.report_s
+        near = set() if blind else self._zones_in_reach(known, now)
         # Right after a takeover the workers may still be answered by the deposed owner, who can't know
         # yet if the state service refuses only it; it stops by itself at this bound.
         unheard = max(silent, self.unverified_limit() + 3.0)
@@ -362,7 +360,10 @@
             elif machine.reported or machine.open:
                 if machine.missing >= 2 and quiet > facts.report_s * 1.5:
                     why = "gone from the cloud's list"
-                elif quiet > (silent if machine.reported else unheard):
+                elif quiet > (silent if machine.reported else unheard) or (
+                    # What ran there has ended with its lease, and its users wait.
+                    machine.zone in near and machine.stands and quiet > facts.lease_s + facts.report_s
+                ):
                     why = f"silent for {quiet:.0f} s"
                 elif machine.quarantined and not self._serves(machine, now):
                     why = "quarantined"
@@ -382,6 +383,18 @@
                 step.deletions.append((machine.name, why))
                 log.info("deleting machine %s: %s, %d tasks there", machine.name, why, len(machine.open))
 
+    def _zones_in_reach(self, known: list[Machine], now: float) -> set[int]:
+        """The zones in which most machines are heard by us, not by a relay: there no cut between zones is the
+        reason for the others' silence, and no relay can be about to tell of them."""
+        heard: dict[int, int] = {}
+        there: dict[int, int] = {}
+        for machine in known:
+            if machine.zone is not None:
+                there[machine.zone] = there.get(machine.zone, 0) + 1
+                lately = now - machine.heard <= 2.5 * self.settings.facts.workers.report_s
+                heard[machine.zone] = heard.get(machine.zone, 0) + (lately and not machine.relay)
+        return {zone for zone, count in there.items() if 2 * heard[zone] > count}
+
     def _serves(self, machine: Machine, now: float) -> bool:
         """Whether replicas of services run on this machine all the same. It fails what it starts; to delete
         it for that would end what runs, and a replica started elsewhere is away meanwhile."""
