--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -72,7 +72,7 @@
             groups = self._standing_groups(now)
             self.standing = self._kept_for_services(groups)
             self._deletions(step, now, waiting, listening)
-            self._rentals(step, now, waiting, groups)
+            self._rentals(step, now, waiting, groups, listening)
         return step
 
     def _fleet(self) -> Iterator[tuple[fleet.Option, Machine]]:
@@ -257,7 +257,12 @@
         return kept
 
     def _rentals(
-        self, step: FleetStep, now: float, needs: list[fleet.Need], groups: list[fleet.Group]
+        self,
+        step: FleetStep,
+        now: float,
+        needs: list[fleet.Need],
+        groups: list[fleet.Group],
+        listening: float,
     ) -> None:
         lag = self.settings.facts.cloud.list_lag_s if self.inherited else 0.0
         if self.listed_at < self.owner_since + lag:
@@ -275,8 +280,11 @@
         busy = work / cpus if cpus else (1e9 if work else 0.0)
         refused = frozenset(o for o, until in self.refused.items() if until > now)
         fleet_now: dict[fleet.Option, int] = dict(self.renting)
+        doubt_s = 0.5 * self.settings.facts.workers.lease_s
         for option, machine in self._fleet():
-            if machine.notice is None:
+            # A silent machine is replaced before it is given up: to boot takes as long as to be sure.
+            doubted = machine.reported and now - max(machine.heard, listening) > doubt_s
+            if machine.notice is None and not (doubted and machine.zone in self.near):
                 fleet_now[option] = fleet_now.get(option, 0) + 1
         rentals = fleet.for_services(
             groups, self.types, fleet_now, refused, any(need.standing for need in needs)
@@ -341,7 +349,7 @@
         blind = now - self.last_report > 3.0 or now - self.owner_since < facts.lease_s
         deaf = blind or quiet_now > max(3, len(known) // 4)
         silent = facts.lease_s * (2.5 if deaf else 1.0) + facts.report_s
-        near = set() if blind else self._zones_in_reach(known, now)
+        self.near = set() if blind else self._zones_in_reach(known, now)
         # Right after a takeover the workers may still be answered by the deposed owner, who can't know
         # yet if the state service refuses only it; it stops by itself at this bound.
         unheard = max(silent, self.unverified_limit() + 3.0)
@@ -362,7 +370,7 @@
                     why = "gone from the cloud's list"
                 elif quiet > (silent if machine.reported else unheard) or (
                     # What ran there has ended with its lease, and its users wait.
-                    machine.zone in near and machine.stands and quiet > facts.lease_s + facts.report_s
+                    machine.zone in self.near and machine.stands and quiet > facts.lease_s + facts.report_s
                 ):
                     why = f"silent for {quiet:.0f} s"
                 elif machine.quarantined and not self._serves(machine, now):
