--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -132,7 +132,6 @@
         self.renting: dict[fleet.Option, int] = {}
         self.urgent_jobs: list[tuple[float, float]] = []  # when accepted, CPUs
         self.standing_jobs: list[tuple[float, JobSpec]] = []  # services accepted lately, and when
-        self.near: set[int] = set()  # zones most of whose machines we hear
         self.standing: set[int] = set()  # ordinary machines that are kept for services
         self.refusals = 0
         self.starts = 0
--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -72,7 +72,7 @@
             groups = self._standing_groups(now)
             self.standing = self._kept_for_services(groups)
             self._deletions(step, now, waiting, listening)
-            self._rentals(step, now, waiting, groups, listening)
+            self._rentals(step, now, waiting, groups)
         return step
 
     def _fleet(self) -> Iterator[tuple[fleet.Option, Machine]]:
@@ -257,12 +257,7 @@
         return kept
 
     def _rentals(
-        self,
-        step: FleetStep,
-        now: float,
-        needs: list[fleet.Need],
-        groups: list[fleet.Group],
-        listening: float,
+        self, step: FleetStep, now: float, needs: list[fleet.Need], groups: list[fleet.Group]
     ) -> None:
         lag = self.settings.facts.cloud.list_lag_s if self.inherited else 0.0
         if self.listed_at < self.owner_since + lag:
@@ -280,11 +275,8 @@
         busy = work / cpus if cpus else (1e9 if work else 0.0)
         refused = frozenset(o for o, until in self.refused.items() if until > now)
         fleet_now: dict[fleet.Option, int] = dict(self.renting)
-        doubt_s = 0.5 * self.settings.facts.workers.lease_s
         for option, machine in self._fleet():
-            # A silent machine is replaced before it is given up: to boot takes as long as to be sure.
-            doubted = machine.reported and now - max(machine.heard, listening) > doubt_s
-            if machine.notice is None and not (doubted and machine.zone in self.near):
+            if machine.notice is None:
                 fleet_now[option] = fleet_now.get(option, 0) + 1
         rentals = fleet.for_services(
             groups, self.types, fleet_now, refused, any(need.standing for need in needs)
@@ -346,10 +338,12 @@
         # or the network: wait longer. A wave of spot machines taken shows in the cloud's list.
         known = [m for m in self.machines.values() if m.reported and not m.deleting]
         quiet_now = sum(now - max(m.heard, listening) > 2.5 * facts.report_s for m in known)
-        blind = now - self.last_report > 3.0 or now - self.owner_since < facts.lease_s
-        deaf = blind or quiet_now > max(3, len(known) // 4)
+        deaf = (
+            now - self.last_report > 3.0
+            or now - self.owner_since < facts.lease_s
+            or quiet_now > max(3, len(known) // 4)
+        )
         silent = facts.lease_s * (2.5 if deaf else 1.0) + facts.report_s
-        self.near = set() if blind else self._zones_in_reach(known, now)
         # Right after a takeover the workers may still be answered by the deposed owner, who can't know
         # yet if the state service refuses only it; it stops by itself at this bound.
         unheard = max(silent, self.unverified_limit() + 3.0)
@@ -368,10 +362,7 @@
             elif machine.reported or machine.open:
                 if machine.missing >= 2 and quiet > facts.report_s * 1.5:
                     why = "gone from the cloud's list"
-                elif quiet > (silent if machine.reported else unheard) or (
-                    # What ran there has ended with its lease, and its users wait.
-                    machine.zone in self.near and machine.stands and quiet > facts.lease_s + facts.report_s
-                ):
+                elif quiet > (silent if machine.reported else unheard):
                     why = f"silent for {quiet:.0f} s"
                 elif machine.quarantined and not self._serves(machine, now):
                     why = "quarantined"
@@ -391,18 +382,6 @@
                 step.deletions.append((machine.name, why))
                 log.info("deleting machine %s: %s, %d tasks there", machine.name, why, len(machine.open))
 
-    def _zones_in_reach(self, known: list[Machine], now: float) -> set[int]:
-        """The zones in which most machines are heard by us, not by a relay: there no cut between zones is the
-        reason for the others' silence, and no relay can be about to tell of them."""
-        heard: dict[int, int] = {}
-        there: dict[int, int] = {}
-        for machine in known:
-            if machine.zone is not None:
-                there[machine.zone] = there.get(machine.zone, 0) + 1
-                lately = now - machine.heard <= 2.5 * self.settings.facts.workers.report_s
-                heard[machine.zone] = heard.get(machine.zone, 0) + (lately and not machine.relay)
-        return {zone for zone, count in there.items() if 2 * heard[zone] > count}
-
     def _serves(self, machine: Machine, now: float) -> bool:
         """Whether replicas of services run on this machine all the same. It fails what it starts; to delete
         it for that would end what runs, and a replica started elsewhere is away meanwhile."""
--- a/bayford/scheduling/placement.py
+++ b/bayford/scheduling/placement.py
@@ -92,8 +92,9 @@
     fetching = any(not there for image, there in machine.images.items() if image != job.image)
     have = machine.images.get(job.image)
     fetch = 0.0 if have else fetch_s * (0.7 if have is not None else 2.0 if fetching else 1.0)
+    services = any(place.job.standing for place in machine.open.values())
     zone = zones.get(machine.zone, 0) if machine.zone is not None else 0
-    return (fetch + here * spread_s, zone, 0.0 if machine.stands else 1.0, machine.free_cpus, machine.index)
+    return (fetch + here * spread_s, zone, 0.0 if services else 1.0, machine.free_cpus, machine.index)
 
 
 def steady(machine: Machine, now: float, quiet_s: float) -> bool:
