--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -268,3 +268,22 @@
     )  # fmt: skip
     kept = front.handle(Request("POST", workers.REPORT_PATH, report, -1e18))
     assert kept.status in (200, 421, 503) and 1.25 * facts.report_s + 4.0 < kept.idle_s < facts.lease_s
+
+
+@pytest.mark.parametrize(
+    ("coming", "field"),
+    [
+        ("value_kb = 0", "value_kb"),
+        ("txn_ops = -1", "txn_ops"),
+        ("rps = 0.0", "rps"),
+        ('write_rps = "x"', "write_rps"),
+    ],
+)
+def test_limits_to_come_are_checked_like_every_setting(coming, field):
+    text = SETTINGS.format(
+        name="n9", zone="north", writes=15.0, value_kb=8.0, coming=f"[facts.state.next]\n{coming}"
+    )
+    with pytest.raises(config.SettingsError, match=f"state.next.{field}"):
+        config.parse(text)
+    found = config.parse(text.replace(coming, "novelty = 3")).facts.state.next
+    assert found is not None and found.value_kb is None, "each may be absent, unknown ones are ignored"
