--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -115,6 +115,14 @@
     assert w.owner() == "n0"
 
 
+def load(w: World, tasks: int) -> None:
+    """Four machines, an array of small tasks and a service beside it."""
+    for _ in range(4):
+        w.machine()
+    w.submit("n0", w.job(1, parts=tasks, crew="blue", cpus=0.25))
+    w.submit("n0", w.daemon(2, loaners=True))
+
+
 # -- limits ----------------------------------------------------------------------------------------------
 
 
@@ -134,10 +142,7 @@
 def test_limits_that_fall_under_full_load_stop_nothing(known):
     """Unless it is known beforehand, what is refused for its size must not be tried for ever as it is."""
     w = quiet(machines=0, value_kb=1.5, coming="value_kb = 0.5\ntxn_ops = 4" if known else "")
-    for _ in range(4):
-        w.machine()
-    w.submit("n0", w.job(1, parts=200, crew="blue", cpus=0.25))
-    w.submit("n0", w.daemon(2, loaners=True))
+    load(w, 200)
     for _ in range(4):
         w.step()
     w.state.value_bytes, w.state.txn_ops = 512, 4
@@ -224,10 +229,7 @@
     """The number of a block follows from the size of a value once and for all; read with another, the
     snapshots of tasks that run would name other tasks."""
     w = quiet(machines=0, value_kb=1.5)
-    for _ in range(4):
-        w.machine()
-    w.submit("n0", w.job(1, parts=60, crew="blue", cpus=0.25))
-    w.submit("n0", w.daemon(2, loaners=True))
+    load(w, 60)
     for _ in range(60):
         w.step()
         for part in running(w):
