--- a/bayford/config.py
+++ b/bayford/config.py
@@ -26,7 +26,7 @@
 
 
 class Team(msgspec.Struct, frozen=True):
-    """A team's guarantee and limit; 0 means none."""
+    """A team's guarantee and limit. 0 means that there is none: nothing guaranteed, no limit."""
 
     name: str
     cpus: float = 0.0
--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -4,6 +4,7 @@
 """
 
 import logging
+import math
 import random
 import threading
 from collections.abc import Callable, Iterable
@@ -121,7 +122,8 @@
         self.seen: dict[int, dict[Key, str]] = {}  # what the last report said: phase of each attempt
         self.gone: set[str] = set()
         self.shares = [
-            Share(t.name, t.cpus, t.cpus_max, t.gpus, t.gpus_max) for t in self.settings.facts.teams
+            Share(t.name, t.cpus, t.cpus_max or math.inf, t.gpus, t.gpus_max or math.inf)
+            for t in self.settings.facts.teams
         ]
         # We were owner, and every cancellation till then was known here: the sending of the last read that
         # showed the map that made us owner. A comparison of the map alone, or a write of our own, shows no
--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -102,7 +102,7 @@
         )
         for _, job, count in self._queue(now, turns=False):
             if job.spec.cpus > 0:
-                count = min(count, int((room[job.team] + EPS) / job.spec.cpus))
+                count = int(min(count, (room[job.team] + EPS) / job.spec.cpus))
             room[job.team] -= count * job.spec.cpus
             if count <= 0:
                 continue
--- a/bayford/scheduling/quota.py
+++ b/bayford/scheduling/quota.py
@@ -11,7 +11,7 @@
 
 @dataclass(slots=True)
 class Share:
-    """One team's guarantee, limit and use."""
+    """One team's guarantee, limit and use. Without a limit `cpus_max` or `gpus_max` is infinite."""
 
     name: str
     cpus: float
@@ -32,7 +32,7 @@
         self.used_gpus -= spec.gpus
 
     def allows(self, spec: JobSpec) -> bool:
-        """Whether one more task stays within the limit. A limit of 0 means none of it at all."""
+        """Whether one more task stays within the limit."""
         return (
             self.used_cpus + spec.cpus <= self.cpus_max + EPS
             and self.used_gpus + spec.gpus <= self.gpus_max + EPS
