--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -4,6 +4,8 @@
 watch: it checks them at every start, at every answer to a user and at every step.
 """
 
+import threading
+
 import orjson
 import pytest
 from test_stories import quiet, running, wait
@@ -902,3 +904,35 @@
             if name not in w.nodes:
                 w.boot(name)
     over(w, 200.0)
+
+
+def test_a_read_vouches_for_nothing_that_nobody_was_told_of_yet():
+    """One thread has taken a cancellation in and is about to tell the engine; the read of a second one finds
+    it there already, and must not count before the first one is through."""
+    w = quiet(machines=1, nodes=2)
+    name, owner, other = owned(w)
+    w.submit(name, w.job(1))
+    owner.mirror.pull(0.0)
+    assert w.cancel(other, "req-000001") == "aborted"
+    telling, go_on = threading.Event(), threading.Event()
+    on_row = owner.engine.on_row
+
+    def slowly(record, stamp):
+        telling.set()
+        assert go_on.wait(30.0)
+        on_row(record, stamp)
+
+    owner.engine.on_row = slowly
+    first = threading.Thread(target=owner.mirror.pull, args=(0.0,))
+    first.start()
+    assert telling.wait(30.0)
+    before = owner.mirror.as_of
+    w.clock.now += 1.0
+    second = threading.Thread(target=owner.mirror.pull, args=(0.0,))
+    second.start()
+    second.join(0.3)  # unmended it is through by then; mended it never is
+    assert owner.mirror.as_of == before and not owner.engine.jobs["req-000001"].cancelled
+    go_on.set()
+    for thread in (first, second):
+        thread.join()
+    assert owner.mirror.as_of > before and owner.engine.jobs["req-000001"].cancelled
