--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -237,8 +237,8 @@
 # -- every other meeting -------------------------------------------------------------------------------------
 
 
-def over(w: World, seconds: float = 150.0) -> None:
-    """All troubles end. Nobody may be forgotten or left waiting, and all that was accepted ends."""
+def calm(w: World) -> None:
+    """No trouble goes on, and all controllers are there."""
     s = w.state
     s.down = False
     for held in (s.refuses, s.blind, s.lost, s.lagging, s.unanswered, w.cut, w.mesh_cut, w.frozen):
@@ -249,6 +249,11 @@
     for name in w.names:
         if name not in w.nodes:
             w.boot(name)
+
+
+def over(w: World, seconds: float = 150.0) -> None:
+    """All troubles end. Nobody may be forgotten or left waiting, and all that was accepted ends."""
+    calm(w)
     since: dict[str, float] = {}
     for turn in range(int(seconds)):
         wait(w, 1.0)
@@ -892,17 +897,7 @@
                 if rng.random() < 0.05:
                     w.finish(part)
             wait(w, rng.choice([0.5, 1.0, 2.0]))
-        w.state.down = False
-        for held in (w.state.refuses, w.state.blind, w.state.lost, w.state.lagging, w.state.unanswered):
-            held.clear()
-        for held in (w.cut, w.mesh_cut, w.frozen):
-            held.clear()
-        w.slow_s = 0.0
-        for worker in w.workers.values():
-            worker.deaf = worker.mute = worker.hung = False
-        for name in w.names:
-            if name not in w.nodes:
-                w.boot(name)
+        calm(w)
     over(w, 200.0)
 
 
