--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -362,3 +362,18 @@
     with pytest.raises(TooLarge):
         w.nodes["n0"].store.commit({}, [summary.Put("b/x", "y" * 20)])
     assert w.nodes["n0"].limits.value_bytes == 8192, "only a commit of the owner's teaches"
+
+
+def test_an_old_owner_is_not_told_of_cancellations_and_stops_their_tasks_all_the_same():
+    """Release 1 knows no such news and answers 404, which counts as told: its own watch tells it."""
+    w = upgrading()
+    renew(w, "n2")
+    assert w.owner() in w.old and "n2" not in w.old
+    w.nodes["n2"]._tellers = {name: lambda told: heard.append(told) or True for name in w.old}
+    heard: list[dict] = []
+    assert w.cancel("n2", "req-000001") == "aborted"
+    assert w.nodes["n2"].tell_cancelled() and w.nodes["n2"].tell_cancelled()
+    assert [list(told) for told in heard] == [["req-000001"]], "once, and not again and again"
+    for _ in range(4):
+        w.step()
+    assert not running(w)
