Stories of the meetings: three things written twice now stand once

Read once more. Two stories built the same world of two zones; one repeated decided(); the world's mesh asked in two places whether a controller reaches another. A pass_time(0.0) did nothing.

--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -8,7 +8,7 @@
 
 import orjson
 import pytest
-from test_stories import quiet, running, wait
+from test_stories import decided, quiet, running, wait
 from world import Worker, World
 
 from bayford.coordination.controller import Controller
@@ -33,6 +33,15 @@
     return w
 
 
+def two_zones() -> World:
+    """A world with two machines in each zone."""
+    w = World(3)
+    for zone in ("north", "south", "north", "south"):
+        w.machine(zone=zone)
+    wait(w, 2.0, fleet=False)
+    return w
+
+
 def holder(w: World) -> Worker:
     return next(worker for worker in w.workers.values() if worker.running())
 
@@ -48,7 +57,6 @@
     name, owner, other = owned(w)
     if not news:
         w.mesh_cut.add(name)
-        w.pass_time(0.0)
     w.state.refuses.add(name)
     wait(w, refused_s, fleet=False)
     assert w.cancel(other, "req-000001") == "aborted"
@@ -224,9 +232,7 @@
     was no part of it, and the task was started all the same."""
     w = quiet(machines=1, nodes=3)
     name, owner, other = owned(w)
-    w.submit(name, w.job(1))
-    owner.mirror.pull(0.0)
-    owner.engine.round()
+    decided(w, name)
     owner.commit_once()
     assert owner.engine.jobs["req-000001"].open
     assert w.cancel(other, "req-000001") == "aborted"
@@ -423,10 +429,7 @@
 
 
 def test_jobs_bound_to_one_zone_lose_machines_and_come_back_there():
-    w = World(3)
-    for zone in ("north", "south", "north", "south"):
-        w.machine(zone=zone)
-    wait(w, 2.0, fleet=False)
+    w = two_zones()
     w.submit("n0", w.job(1, parts=4, yard="south", guess_s=500.0))
     w.submit("n0", w.job(2, parts=6, crew="blue", together=True, guess_s=500.0))
     w.submit("n0", w.job(3, parts=4, crew="blue", apart=True, guess_s=500.0))
@@ -713,10 +716,7 @@
 
 
 def test_a_zone_with_workers_and_a_controller_is_cut_off_for_longer_than_a_lease():
-    w = World(3)
-    for zone in ("north", "south", "north", "south"):
-        w.machine(zone=zone)
-    wait(w, 2.0, fleet=False)
+    w = two_zones()
     w.submit("n0", w.job(1, parts=8, crew="blue", guess_s=500.0))
     w.submit("n0", w.job(2, parts=4, guess_s=500.0))
     wait(w, 4.0, fleet=False)
--- a/tests/world.py
+++ b/tests/world.py
@@ -423,17 +423,18 @@
                 pass
             self.pass_time(min(seconds, 0.05))
 
+        def meets(other: str) -> bool:
+            return other in self.nodes and other not in self.frozen and not self.mesh_cut & {name, other}
+
         def asker(other: str) -> Callable[[float], Any]:
             def ask(timeout_s: float) -> Any:
-                if other not in self.nodes or other in self.frozen or self.mesh_cut & {name, other}:
-                    return None
-                return self.nodes[other].status()
+                return self.nodes[other].status() if meets(other) else None
 
             return ask
 
         def teller(other: str) -> Callable[[dict[str, float]], bool]:
             def tell(cancelled: dict[str, float]) -> bool:
-                if other not in self.nodes or other in self.frozen or self.mesh_cut & {name, other}:
+                if not meets(other):
                     return False
                 if other not in self.old:
                     self.nodes[other].hear_cancelled(mesh.decode_cancelled(mesh.encode_cancelled(cancelled)))
