An owner that workers can't reach hands over to a controller that they reach

Cause: an owner that loses its workers alone keeps its lease, and everything goes through relays: starts late, halts of preempted tasks not at all, and a cancelled start is never closed, so that its machine is deleted at half of cancel_s. Ruled out: a cut of the whole network; there the lease ends and another owns after 3 s. Change: coordination/handover.py names the successor from counts of machines heard; the owner writes the map.

--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bayford.config import Settings
+from bayford.coordination import handover
 from bayford.coordination import relay as relaying
 from bayford.coordination.books import Batch
 from bayford.coordination.budget import Budget
@@ -119,6 +120,7 @@
         self._adopted = threading.Event()  # set, and replaced by another, whenever we have become owner
         self._born = clock()
         self._succeeded = self._born
+        self._handover_tried = self._born
         self._listening = self._born  # since when workers' reports have been taken without a break
         self._peer_heard = -1e18
         self._peers_served: dict[str, float] = {}  # when each last said that the state service serves it
@@ -265,6 +267,7 @@
         self.membership.step()
         self._succeed()
         self._settle(adopt=True)
+        self._hand_over()
         self._lay_out()
         self._publish()
         return 0.15
@@ -290,6 +293,35 @@
             self.mirror.pull(0.0)
             self.membership.claim(self.name)
 
+    def _hand_over(self) -> None:
+        """Give ownership to a controller that hears the workers, if this one hears hardly any.
+
+        An ordinary change of the map: whoever reads it later than others, or answers with the old token, is
+        treated like any deposed owner. Not before an owner has been in charge for a lease, in which the
+        workers that could not reach the owner before it have found their way.
+        """
+        now = self.clock()
+        facts = self.settings.facts.workers
+        if (
+            not self.engine.owner
+            or now - self.engine.owner_since < facts.lease_s
+            or now - self._handover_tried < handover.RETRY_S
+            or not self._sure()
+        ):
+            return
+        contact = self.engine.worker_contact(now - handover.contact_window(facts.report_s))
+        candidates = set(self.membership.live()) - self.elders() - {self.name}
+        successor = handover.successor(contact, candidates)
+        if successor is None:
+            return
+        self._handover_tried = now
+        log.info(
+            "handing over to %s: it hears %d machines, this controller %d",
+            successor, contact.relayed[successor], contact.direct,
+        )  # fmt: skip
+        self.membership.claim(successor)
+        self._settle()
+
     def _lay_out(self) -> None:
         """Write down, once and for all, what the ledger is laid out for: settings with the limits to come
         must not change how it is read."""
--- a/bayford/coordination/reports.py
+++ b/bayford/coordination/reports.py
@@ -3,6 +3,7 @@
 import logging
 
 from bayford.coordination.books import Books, Key
+from bayford.coordination.handover import WorkerContact
 from bayford.protocol import workers
 from bayford.scheduling.model import EPS, GANG, SERVICE, Job, Machine, Placement
 
@@ -266,6 +267,20 @@
             if place.job.cancelled and absent and after >= place.job.cancel_known:
                 self._close(machine, place, now)
 
+    def worker_contact(self, since: float) -> WorkerContact:
+        """How many machines have been heard after `since`, directly and through each relay."""
+        direct = 0
+        relayed: dict[str, int] = {}
+        with self.lock:
+            for machine in self.machines.values():
+                if not machine.reported or machine.heard < since:
+                    continue
+                if machine.relay:
+                    relayed[machine.relay] = relayed.get(machine.relay, 0) + 1
+                else:
+                    direct += 1
+        return WorkerContact(direct, relayed)
+
     def answered(self, index: int, report: workers.Report, orders: list[workers.Order]) -> None:
         """A report is answered with these. An answer to a late copy reaches nobody and doesn't count."""
         with self.lock:
