Stops spread over tasks, and spare jobs that would be late for them

Change: preemption.delay_cost counts earlier stops, the job's end and its deadline beside the lost work.

--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -303,6 +303,10 @@
             return SERVICE_RUN_S
         return self.estimates.expected(job.job_class, job.spec.estimate_s)
 
+    def due_s(self, job: Job) -> float | None:
+        """How long after its acceptance the job should be done: its deadline, or its class's aim, if any."""
+        return job.spec.deadline_s or self.targets.get(job.spec.job_class)
+
     def _touch(self, job: Job, task: int) -> None:
         """The task's state has changed and has to be written."""
         self.dirty.setdefault(job.spec.id, set()).add(task)
--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/renting.py
@@ -120,7 +120,7 @@
             target = None
             if not job.standing:
                 ahead += count * job.spec.cpus * run
-                target = job.spec.deadline_s or self.targets.get(job.spec.job_class)
+                target = self.due_s(job)
             if target is not None:
                 # Dear machines only where they still make the difference, and only as many as that takes.
                 age = now - job.created
--- a/bayford/coordination/rounds.py
+++ b/bayford/coordination/rounds.py
@@ -135,7 +135,7 @@
                 guaranteed = 0.0 if job.spec.id in entitled else 0.5
             # Where the users have no aim for single jobs, the longest tasks go first: begun last, they would
             # run on alone when all else is through.
-            aimless = job.spec.deadline_s is None and job.spec.job_class not in self.targets
+            aimless = self.due_s(job) is None
             rank = -run if aimless else self._rank(job, run, age)
             order = (2.0, guaranteed, -float(job.spec.priority), float(aimless), rank)
             out.append((order, job, count))
@@ -323,6 +323,7 @@
                 owed -= 1
                 need -= 1
                 for victim in found:
+                    victim.job.note_stop(victim.place.task)
                     after[victim.job.team].give(victim.job.spec)
                     saves = victim.job.spec.checkpoint_s > 0
                     self._halt(victim.place, victim.job.spec.save_s * 1.5 if saves else 0.0)
@@ -417,6 +418,7 @@
                     if waiting.spec.priority < URGENT and expected - ran < self.policy.guarantee_wait_s / 2:
                         continue  # it gives the room back by itself soon; stopping it wastes its work
                     loss = preemption.lost_work(job, place, now, expected)
+                    loss += preemption.delay_cost(job, place, now, expected, self.due_s(job))
                     found.append(preemption.Victim(job, place, loss))
             got = preemption.victims_on(machine, waiting, found, 4) if found else None
             if got is None:
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -146,6 +146,8 @@
     # Replicas that were up and are not: since when that was known, and for how long it was not known by then.
     down: dict[int, tuple[float, float]] = field(default_factory=dict)
     resting: dict[int, float] = field(default_factory=dict)
+    # How often tasks were stopped to make room for others, as far as this owner knows.
+    stops: dict[int, int] = field(default_factory=dict)
     cheap_hosts: bool = True  # whether the fleet has cheap machines that it may run on
     why_waiting: str = ""
 
@@ -168,6 +170,10 @@
         """All tasks done. A done job is never cancelled afterwards."""
         return len(self.done) == self.spec.tasks
 
+    def note_stop(self, task: int) -> None:
+        """The task is stopped to make room."""
+        self.stops[task] = self.stops.get(task, 0) + 1
+
     def requeue(self, task: int) -> None:
         """Put a task that was on a machine back in front of the queue, unless nobody wants it any more."""
         if task not in self.done and not self.cancelled:
--- a/bayford/scheduling/preemption.py
+++ b/bayford/scheduling/preemption.py
@@ -4,12 +4,20 @@
 give a team its guarantee; nothing else.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from bayford.scheduling.model import Job, Machine, Placement
 from bayford.scheduling.quota import Share
 
+# Weights of `delay_cost`, in expected run times of the task.
+REPEATED_STOP = 0.5
+MISSED_DEADLINE = 2.0
+LEAST_LEFT = 0.1  # a task that runs for longer than expected is taken to need so much more
+LAST_TASK = 1.5  # the longest task of an array, against the mean
+RESTART_S = 10.0  # until a stopped task runs again, its image fetched
+
 
 @dataclass(frozen=True, slots=True)
 class Victim:
@@ -52,6 +60,30 @@
     return ran + near_end
 
 
+def delay_cost(job: Job, place: Placement, now: float, expected_s: float, due_s: float | None) -> float:
+    """What stopping the task costs its job beyond the lost work, in seconds.
+
+    `due_s`: how long after its creation the job should be done, if that is said.
+
+    The task that was started last has the least to lose, so by lost work alone the same one is stopped again
+    and again, and a job of a thousand tasks waits for its last one. A job that has tasks waiting anyway loses
+    no time by one more. Checkpointing tasks and services keep what they have done.
+    """
+    if job.standing or job.spec.checkpoint_s > 0:
+        return 0.0
+    cost = REPEATED_STOP * expected_s * job.stops.get(place.task, 0)
+    ran = 0.0 if place.running_since is None else now - place.running_since
+    ends = now + max(LEAST_LEFT * expected_s, expected_s - ran)
+    due = math.inf if due_s is None else job.created + due_s
+    if ends > due:
+        return cost  # it is late as it is
+    share_waiting = min(1.0, len(job.waiting) / (0.5 * len(job.open) + 1.0))
+    cost += expected_s * (1.0 - share_waiting)
+    if now + LAST_TASK * expected_s + RESTART_S > due:
+        cost += MISSED_DEADLINE * expected_s
+    return cost
+
+
 def victims_on(
     machine: Machine, waiting: Job, found: Iterable[Victim], slots: int
 ) -> tuple[list[Victim], float] | None:
