Settings with negative amounts, unknown zones or members named twice are refused by name

check-config and the start end with status 2 and the field. The simulated cluster of the tests had a controller that was its own peer; its settings name another now.

--- a/bayford/config.py
+++ b/bayford/config.py
@@ -1,5 +1,6 @@
 """The settings file that the platform hands over, checked before anything starts."""
 
+import math
 import tomllib
 from pathlib import Path
 
@@ -128,14 +129,43 @@
         raise SettingsError(f"not TOML: {bad}") from bad
     except msgspec.ValidationError as bad:
         raise SettingsError(str(bad)) from bad
+    _check_addresses(settings)
+    _check_members(settings)
+    _check_amounts(settings.facts)
+    _check_teams(settings.facts.teams)
+    return settings
+
+
+def _check_addresses(settings: Settings) -> None:
     split_address(settings.front, "front")
     split_address(settings.mesh_addr, "mesh_addr")
     split_address(settings.outside.cloud, "outside.cloud")
     split_address(settings.outside.state, "outside.state")
     for n, peer in enumerate(settings.seeds):
         split_address(peer.endpoint, f"seeds[{n}].endpoint")
-    facts = settings.facts
-    positive = {
+
+
+def _check_members(settings: Settings) -> None:
+    """Each controller is named once and stands in a zone of the deployment."""
+    zones = settings.facts.zones
+    if not zones:
+        raise SettingsError("`$.facts.zones`: names no zone")
+    if len(set(zones)) != len(zones):
+        raise SettingsError("`$.facts.zones`: a zone's name appears twice")
+    if settings.site not in zones:
+        raise SettingsError(f"`$.site`: {settings.site!r} is not in `facts.zones`")
+    known = {settings.member}
+    for n, peer in enumerate(settings.seeds):
+        if peer.member in known:
+            raise SettingsError(f"`$.seeds[{n}].member`: {peer.member!r} appears twice")
+        known.add(peer.member)
+        if peer.site not in zones:
+            raise SettingsError(f"`$.seeds[{n}].site`: {peer.site!r} is not in `facts.zones`")
+
+
+def _check_amounts(facts: Facts) -> None:
+    above_zero: dict[str, float] = {
+        "nodes": facts.nodes,
         "workers.report_s": facts.workers.report_s,
         "workers.lease_s": facts.workers.lease_s,
         "workers.cancel_s": facts.workers.cancel_s,
@@ -144,17 +174,38 @@
         "state.value_kb": facts.state.value_kb,
         "state.txn_ops": facts.state.txn_ops,
         "cloud.rps": facts.cloud.rps,
+        "machine_limits.core_share": facts.machine_limits.core_share,
+        "machine_limits.mem_mb": facts.machine_limits.mem_mb,
+        "machine_limits.fd_limit": facts.machine_limits.fd_limit,
     }
     if facts.state.next is not None:
         coming = msgspec.structs.asdict(facts.state.next)
-        positive |= {f"state.next.{name}": value for name, value in coming.items() if value is not None}
-    for field, value in positive.items():
-        if not value > 0:
-            raise SettingsError(f"`$.facts.{field}`: must be above 0, is {value}")
-    names = [team.name for team in facts.teams]
+        above_zero |= {f"state.next.{name}": value for name, value in coming.items() if value is not None}
+    for field, value in above_zero.items():
+        if not 0 < value < math.inf:  # not a number fails both
+            raise SettingsError(f"`$.facts.{field}`: must be above 0 and finite, is {value}")
+    not_negative = {"cloud.list_lag_s": facts.cloud.list_lag_s, "time_bound_ms": facts.time_bound_ms}
+    for n, objective in enumerate(facts.objectives):
+        if objective.within_s is not None:
+            not_negative[f"objectives[{n}].within_s"] = objective.within_s
+        if objective.share is not None:
+            not_negative[f"objectives[{n}].share"] = objective.share
+    _check_not_negative("$.facts", not_negative)
+
+
+def _check_teams(teams: list[Team]) -> None:
+    names = [team.name for team in teams]
     if len(set(names)) != len(names):
         raise SettingsError("`$.facts.teams`: a team's name appears twice")
-    return settings
+    for n, team in enumerate(teams):
+        amounts = {name: value for name, value in msgspec.structs.asdict(team).items() if name != "name"}
+        _check_not_negative(f"$.facts.teams[{n}]", amounts)
+
+
+def _check_not_negative(where: str, amounts: dict[str, float]) -> None:
+    for field, value in amounts.items():
+        if not 0 <= value < math.inf:
+            raise SettingsError(f"`{where}.{field}`: must be 0 or more and finite, is {value}")
 
 
 def load(path: str) -> Settings:
--- a/tests/world.py
+++ b/tests/world.py
@@ -403,6 +403,10 @@
             value_kb=self.value_kb,
             coming=coming,
         )
+        if name == "n0":  # no controller is its own peer
+            text = text.replace(
+                'member = "n0"\nsite = "north"\nendpoint', 'member = "n1"\nsite = "south"\nendpoint'
+            )
         return parse(text)
 
     def boot(self, name: str, policy: Policy | None = None) -> Controller:
