--- a/bayford/cli.py
+++ b/bayford/cli.py
@@ -66,17 +66,17 @@
 
         return ask
 
-    def teller(endpoint: str) -> Callable[[dict[str, float]], bool]:
+    def notifier(endpoint: str) -> Callable[[dict[str, float]], bool]:
         client = Client(*split_address(endpoint), most_idle=1, connect_s=0.8)
 
-        def tell(cancelled: dict[str, float]) -> bool:
+        def notify(cancelled: dict[str, float]) -> bool:
             try:
                 status, _ = client.call("POST", mesh.CANCELLED_PATH, mesh.encode_cancelled(cancelled), 1.0)
             except (Unavailable, Unknown):
                 return False
             return status in (200, 404)  # an older release knows no such path
 
-        return tell
+        return notify
 
     def command(address: str, body: bytes) -> bytes | None:
         # Of hundreds of machines any may be told to stop something, seldom the same one again soon: a
@@ -95,7 +95,7 @@
         CloudApi(cloud.call),
         incarnation,
         {peer.member: asker(peer.endpoint) for peer in settings.seeds},
-        {peer.member: teller(peer.endpoint) for peer in settings.seeds},
+        {peer.member: notifier(peer.endpoint) for peer in settings.seeds},
         command,
     )
     # Every worker, and users beside them, may come to one controller: a thread each, 0.03 MB as measured.
--- a/bayford/coordination/books.py
+++ b/bayford/coordination/books.py
@@ -434,7 +434,7 @@
             if self.owner and term == self.term:
                 self.verified_at = max(self.verified_at, as_of)
 
-    def call_off(self, cancelled: dict[str, float]) -> None:
+    def note_cancelled(self, cancelled: dict[str, float]) -> None:
         """Another controller has confirmed these cancellations, at these times of day; the state service may
         be out of our reach. Final is final: to halt is right on any view, however old. A job that is not
         here yet starts only after a read that shows its cancellation too."""
@@ -565,6 +565,11 @@
                 ordered.append(table.get(name, unknown))
             self.types = ordered
 
+    def team_share(self, team: str) -> Share | None:
+        """The guarantee and limit of a team, None for an unknown one."""
+        index = self.teams_by.find(team)
+        return None if index is None else self.shares[index]
+
     def catalog(self) -> list[MachineType]:
         """The types that the cloud has, empty before the first catalog."""
         with self.lock:
--- /dev/null
+++ b/bayford/coordination/cloud_calls.py
@@ -0,0 +1,163 @@
+"""What the owner asks of the cloud: the catalog, the list of machines, rentals and deletions.
+
+The decisions are the engine's; this carries them out within the cloud's rate of requests. Before anything is
+rented or deleted the controller must be sure to be the owner still: the decision may be older than that.
+"""
+
+import logging
+import queue
+import threading
+from collections.abc import Callable
+from typing import Protocol
+
+from bayford.coordination.budget import Budget
+from bayford.coordination.engine import Engine
+from bayford.coordination.renting import FleetStep
+from bayford.protocol.cloud_api import Cloud, CloudBusy, NoCapacity
+
+log = logging.getLogger("bayford.cloud")
+
+OWNER_SHARE = 0.8  # of the cloud's rate: the other controllers ask for the catalog alone
+RENTAL_QUEUE = 64
+RENTAL_ATTEMPTS = 4
+MOST_PER_RENTAL = 50
+MOST_PER_DELETION = 100
+PACE_S = 0.1
+PACE_ATTEMPTS = 100
+LIST_PERIOD_S = 2.0
+OWNER_CATALOG_PERIOD_S = 25.0
+CATALOG_PERIOD_S = 60.0
+AFTER_CALL_S = 0.05
+AFTER_FAILED_DELETION_S = 0.5
+
+
+class Ownership(Protocol):
+    """What the calls need to know of the controller's standing."""
+
+    def sure_owner(self) -> bool:
+        """Whether this controller may act as the owner on the view it has."""
+
+    def unrivalled(self) -> bool:
+        """Whether nobody can be sure to be the owner, and this controller was the last by the map."""
+
+
+class CloudCalls:
+    """The calls of one controller to the cloud."""
+
+    def __init__(
+        self,
+        cloud: Cloud,
+        engine: Engine,
+        ownership: Ownership,
+        rps: float,
+        request_prefix: str,
+        clock: Callable[[], float],
+        pause: Callable[[threading.Event, float], object],
+        on_change: Callable[[], None],
+    ) -> None:
+        """`request_prefix` is this process's alone, so that no rental is named like another. `on_change`:
+        there is something for the next scheduling round."""
+        self._cloud = cloud
+        self._engine = engine
+        self._ownership = ownership
+        self._rate = Budget(rps * OWNER_SHARE, max(1.0, rps), clock)
+        self._request_prefix = request_prefix
+        self._requests = 0
+        self._clock = clock
+        self._pause = pause
+        self._on_change = on_change
+        self._rentals: queue.Queue[tuple[str, str, bool, int, str]] = queue.Queue(RENTAL_QUEUE)
+        self._deletions: queue.Queue[str] = queue.Queue()  # each machine is in it once at the most
+
+    def carry_out(self, step: FleetStep) -> None:
+        """Queue what the engine has decided."""
+        for rental in step.rentals:
+            self._rentals.put(rental)
+        for name, _ in step.deletions:
+            self._deletions.put(name)
+
+    def pace(self) -> None:
+        """Wait for a place under the cloud's limit of requests."""
+        for _ in range(PACE_ATTEMPTS):
+            if self._rate.available() >= 1.0:
+                break
+            self._pause(threading.Event(), PACE_S)
+        self._rate.take(1.0)
+
+    def list_step(self) -> float:
+        """Read the list of machines."""
+        if self._engine.owner:
+            self.pace()
+            began = self._clock()
+            listed = self._cloud.machines()
+            rows = [(m.name, m.type, m.zone, m.spot, m.phase, m.age_s) for m in listed]
+            self._engine.on_list(rows, began)
+        return LIST_PERIOD_S
+
+    def catalog_step(self) -> float:
+        """Read the catalog; prices move."""
+        self.pace()
+        types = self._cloud.catalog()
+        first = not self._engine.types
+        self._engine.set_types(types)
+        if first:
+            self._on_change()
+        return OWNER_CATALOG_PERIOD_S if self._engine.owner else CATALOG_PERIOD_S
+
+    def rent_step(self) -> float:
+        """Carry out the next rental."""
+        self.rent(*self._rentals.get())
+        return AFTER_CALL_S
+
+    def rent(self, kind: str, zone: str, spot: bool, count: int, why: str) -> None:
+        """Rent under a name that no request, of whatever process, has had before."""
+        self._requests += 1
+        request = f"{self._request_prefix}-{self._requests}"
+        asked = min(count, MOST_PER_RENTAL)
+        at = self._clock()
+        names: list[str] = []
+        for attempt in range(RENTAL_ATTEMPTS):
+            self.pace()
+            if not self._ownership.sure_owner():
+                self._engine.not_rented(kind, zone, spot, count)
+                return
+            try:
+                names = self._cloud.rent(request, kind, zone, spot, asked)
+                break
+            except NoCapacity:
+                break
+            except CloudBusy as bad:
+                # The same request may be repeated: if it was carried out, the answer is the same.
+                log.info("rental %s: %s", request, bad)
+                self._pause(threading.Event(), 0.5 * 2**attempt)
+        log.debug("rental %s (%s): %s", request, why, names)
+        self._engine.rented(kind, zone, spot, count, names, at)
+
+    def delete_step(self) -> float:
+        """Carry out the next deletions, many in a request."""
+        names = [self._deletions.get()]
+        while len(names) < MOST_PER_DELETION:
+            try:
+                names.append(self._deletions.get_nowait())
+            except queue.Empty:
+                break
+        return AFTER_CALL_S if self.delete(names) else AFTER_FAILED_DELETION_S
+
+    def delete(self, names: list[str]) -> bool:
+        """Delete machines; only the cloud's 200 proves that their tasks are gone."""
+        self.pace()
+        if not self._ownership.sure_owner():  # decided before a standstill perhaps, and another's by now
+            overdue = self._engine.overdue() if self._ownership.unrivalled() else set()
+            self._engine.not_deleted([name for name in names if name not in overdue])
+            names = [name for name in names if name in overdue]
+            if not names:
+                return False
+        try:
+            self._cloud.delete(names)
+        except CloudBusy as bad:
+            log.info("deleting %s: %s", names, bad)
+            self._engine.not_deleted(names)
+            return False
+        self._engine.deleted(names)
+        self._on_change()
+        return True
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -6,30 +6,29 @@
 import time
 from collections.abc import Callable
 
-import msgspec
-
 from bayford.config import Settings
 from bayford.coordination import handover
 from bayford.coordination import relay as relaying
 from bayford.coordination.books import Batch
 from bayford.coordination.budget import Budget
+from bayford.coordination.cancellation_notices import CancellationNotices, Notify
+from bayford.coordination.cloud_calls import CloudCalls
 from bayford.coordination.engine import Engine
 from bayford.coordination.membership import Membership
 from bayford.coordination.pulse import BEAT_S, Pulse
 from bayford.coordination.renting import FleetStep
+from bayford.coordination.responses import Reply
+from bayford.coordination.user_requests import UserRequests
 from bayford.protocol import jobs, mesh, workers
-from bayford.protocol.cloud_api import Cloud, CloudBusy, NoCapacity
-from bayford.scheduling.model import ARRAY, JobSpec
+from bayford.protocol.cloud_api import Cloud, CloudBusy
 from bayford.storage import records, summary
 from bayford.storage.mirror import Mirror
 from bayford.storage.store import LeaseGone, Put, Row, Store, TooLarge, Unavailable, Unknown
 
 log = logging.getLogger("bayford.controller")
 
-Answer = tuple[int, bytes]
-RETRY_S = 1
-NO_STATE = "the state service does not answer"
-USER_WAIT_S = 1.2  # users give up on a poll after 2 s
+NOTICE_WAIT_S = 1.0
+NOTICE_RETRY_S = 0.3
 GATE_WAIT_S = 1.0
 VERIFY_S = 2.0  # how old the owner lets its last read become, with nothing to start
 ADOPT_WAIT_S = 2.0
@@ -41,7 +40,6 @@
 SERVED_S = 3.0
 SETTLED_S = 4.0  # after its start, or an attempt, before a controller takes over from an older release
 ISOLATED_S = 4.0  # longer than a member's lease
-FINAL_BYTES = 64  # what a record may grow by until it is final
 TELL_S = 15.0  # how often the log says who waits and why
 SUMMARY_GAP_S = 0.7  # between two values of a summary
 SUMMARY_OLD_S = 180.0  # an older summary says nothing about the machines of now
@@ -58,7 +56,7 @@
         cloud: Cloud,
         incarnation: str,
         peers: dict[str, Callable[[float], mesh.Status | None]],
-        tellers: dict[str, Callable[[dict[str, float]], bool]] | None = None,
+        notify: dict[str, Notify] | None = None,
         command: Callable[[str, bytes], bytes | None] = lambda address, body: None,
         clock: Callable[[], float] = time.monotonic,
         wall: Callable[[], float] = time.time,
@@ -66,16 +64,14 @@
         threaded: bool = True,
         release: int = mesh.RELEASE,
     ) -> None:
-        """`peers` asks another controller for its status, `tellers` tells it of cancellations; it is done
-        when that returns True. `pause` waits for an event; the stories in tests/ pass one that moves their
-        clock instead."""
+        """`peers` asks another controller for its status, `notify` tells it of cancellations. `pause` waits
+        for an event; the tests pass one that moves their clock instead."""
         self._pause = pause
         self._command = command
         self._halts: queue.Queue[int] = queue.Queue(1000)
         self.settings = settings
         self.engine = engine
         self.store = store
-        self.cloud = cloud
         self.incarnation = incarnation
         self.peers = peers
         self.clock = clock
@@ -85,7 +81,8 @@
         self.mirror = Mirror(
             store, self.limits.layout_bytes, self._on_rows, threaded, clock, self._on_read
         )  # fmt: skip
-        teams = [t.name for t in settings.facts.teams]
+        facts = settings.facts
+        teams = [t.name for t in facts.teams]
         zones = {peer.member: peer.site for peer in settings.seeds} | {self.name: settings.site}
         self.release = release
         self._releases: dict[str, int] = {}  # of the other controllers, as each last said
@@ -98,21 +95,19 @@
         # One change carries what has happened in a tenth of a second; the rest is left to the other
         # controllers' submissions, each a change of its own.
         self.writes = Budget(rate, max(float(self.limits.txn_ops), rate), clock)
-        cloud_rps = settings.facts.cloud.rps
-        self.calls = Budget(cloud_rps * 0.8, max(1.0, cloud_rps), clock)  # only the owner calls much
         self._kick = threading.Event()
         self._commit = threading.Event()
         self._verify = threading.Event()
         self._verified = threading.Event()
         self._ready: dict[int, threading.Event] = {}
         self._gated: set[int] = set()  # machines whose reports wait for a read before they get their starts
-        self._tellers = tellers or {}
-        self._untold: dict[str, float] = {}  # cancellations confirmed here that the owner was not told of
-        self._untold_lock = threading.Lock()
-        self._told = threading.Event()
-        self._rentals: queue.Queue[tuple[str, str, bool, int, str]] = queue.Queue(64)
-        self._deletions: queue.Queue[str] = queue.Queue()  # each machine is in it once at the most
-        self._rental_number = 0
+        self.notices = CancellationNotices(
+            self.name, notify or {}, lambda: self.membership.view.owner, facts.workers.cancel_s, wall
+        )  # fmt: skip
+        self.cloud_calls = CloudCalls(
+            cloud, engine, self, facts.cloud.rps, f"r-{self.name}-{incarnation}", clock, pause, self._kick.set
+        )  # fmt: skip
+        self._users = UserRequests(store, self.mirror, engine, self.limits, wall, self.notices.add)
         self._summary_keys = 0
         self._summary: list[Put] = []  # what is still to be written of the newest one
         self._unreachable: set[str] = set()
@@ -193,10 +188,10 @@
             ("cancelled", self._cancelled_step),
             ("round", self._round_step),
             ("fleet", self._fleet_step),
-            ("list", self._list_step),
-            ("rent", self._rent_step),
-            ("delete", self._delete_step),
-            ("catalog", self._catalog_step),
+            ("list", self.cloud_calls.list_step),
+            ("rent", self.cloud_calls.rent_step),
+            ("delete", self.cloud_calls.delete_step),
+            ("catalog", self.cloud_calls.catalog_step),
             ("peers", self._peer_step),
             ("summary", self.summary_step),
             ("tell", self._tell_step),
@@ -226,7 +221,7 @@
         self.pulse.woke()
         return BEAT_S
 
-    def _sure(self) -> bool:
+    def sure_owner(self) -> bool:
         """Whether we may act as the owner on the view we have.
 
         It must have been verified not too long ago, and since this process last stood still: a controller
@@ -241,10 +236,10 @@
             and self.clock() - verified <= self.engine.staleness_limit()
         )
 
-    def _sure_soon(self) -> bool:
+    def _await_sure_owner(self) -> bool:
         """The same, awaiting the verification that a standstill calls for, which takes a moment."""
         until = self.clock() + GATE_WAIT_S
-        while not self._sure():
+        while not self.sure_owner():
             late = self.clock() - self.engine.verified_at
             if late > self.engine.staleness_limit() or self.membership.behind or self.clock() >= until:
                 return False
@@ -306,7 +301,7 @@
             not self.engine.owner
             or now - self.engine.owner_since < facts.lease_s
             or now - self._handover_tried < handover.RETRY_S
-            or not self._sure()
+            or not self.sure_owner()
         ):
             return
         contact = self.engine.worker_contact(now - handover.contact_window(facts.report_s))
@@ -475,26 +470,18 @@
                 self._commit.set()
         return 0.08
 
-    def _pace(self) -> None:
-        """Wait for a place under the cloud's limit of requests."""
-        for _ in range(100):
-            if self.calls.available() >= 1.0:
-                break
-            self._pause(threading.Event(), 0.1)
-        self.calls.take(1.0)
-
     def fleet_once(self) -> FleetStep:
         """What to rent and to delete now; nothing while we can't be sure to be the owner.
 
         While we are not, reports are turned away, so that nobody's silence means anything: it counts from
         when we listen again. Else the end of a long outage would be the end of the fleet.
         """
-        if not self._sure():
+        if not self.sure_owner():
             self._listening = self.clock()
-            return self.engine.overdue_step() if self._unrivalled() else FleetStep()
+            return self.engine.overdue_step() if self.unrivalled() else FleetStep()
         return self.engine.fleet_step(max(self._listening, self.pulse.woke()))
 
-    def _unrivalled(self) -> bool:
+    def unrivalled(self) -> bool:
         """Whether, while our view is too old to act upon, no other controller can be known to have a better
         one: the state service is out for all whom we reach, and nobody has seen a higher token.
 
@@ -512,84 +499,16 @@
 
     def _fleet_step(self) -> float:
         if self.engine.owner:
-            step = self.fleet_once()
-            for rental in step.rentals:
-                self._rentals.put(rental)
-            for name, _ in step.deletions:
-                self._deletions.put(name)
+            self.cloud_calls.carry_out(self.fleet_once())
         return 0.5
 
-    def _list_step(self) -> float:
-        if self.engine.owner:
-            self._pace()
-            began = self.clock()
-            listed = self.cloud.machines()
-            self.engine.on_list([(m.name, m.type, m.zone, m.spot, m.phase, m.age_s) for m in listed], began)
-        return 2.0
-
-    def _rent_step(self) -> float:
-        self.rent(*self._rentals.get())
-        return 0.05
-
-    def rent(self, kind: str, zone: str, spot: bool, count: int, why: str) -> None:
-        """Rent under a name that no request, of whatever process, has had before."""
-        self._rental_number += 1
-        request = f"r-{self.name}-{self.incarnation}-{self._rental_number}"
-        asked = min(count, 50)
-        at = self.clock()
-        names: list[str] = []
-        for attempt in range(4):
-            self._pace()
-            if not self._sure():
-                self.engine.not_rented(kind, zone, spot, count)
-                return
-            try:
-                names = self.cloud.rent(request, kind, zone, spot, asked)
-                break
-            except NoCapacity:
-                break
-            except CloudBusy as bad:
-                # The same request may be repeated: if it was carried out, the answer is the same.
-                log.info("rental %s: %s", request, bad)
-                self._pause(threading.Event(), 0.5 * 2**attempt)
-        log.debug("rental %s (%s): %s", request, why, names)
-        self.engine.rented(kind, zone, spot, count, names, at)
-
-    def _delete_step(self) -> float:
-        names = [self._deletions.get()]
-        while len(names) < 100:
-            try:
-                names.append(self._deletions.get_nowait())
-            except queue.Empty:
-                break
-        return 0.05 if self.delete(names) else 0.5
-
-    def delete(self, names: list[str]) -> bool:
-        """Delete machines; only the cloud's 200 proves that their tasks are gone."""
-        self._pace()
-        if not self._sure():  # decided before a standstill perhaps, and another's machines by now
-            overdue = self.engine.overdue() if self._unrivalled() else set()
-            self.engine.not_deleted([name for name in names if name not in overdue])
-            names = [name for name in names if name in overdue]
-            if not names:
-                return False
-        try:
-            self.cloud.delete(names)
-        except CloudBusy as bad:
-            log.info("deleting %s: %s", names, bad)
-            self.engine.not_deleted(names)
-            return False
-        self.engine.deleted(names)
-        self._kick.set()
-        return True
-
     def _command_step(self) -> float:
         """Tell a machine directly to stop tasks that urgent work waits for."""
         index = self._halts.get()
         view = self.membership.view
         # Where we may not be owner any more the token is another's, and nothing is ours to stop: but what is
         # cancelled, and that on any view.
-        ours = view.stamp == self.engine.term and self._sure()
+        ours = view.stamp == self.engine.term and self.sure_owner()
         found = self.engine.halts_for(index, cancelled_alone=not ours)
         if found is None:
             return 0.0
@@ -610,7 +529,7 @@
         """
         if not self._summary:
             picture = self.engine.summary()
-            if picture and self._sure():
+            if picture and self.sure_owner():
                 most = self.limits.value_bytes
                 self._summary = summary.encode(self.name, self.wall(), picture, most, self._summary_keys)
                 self._summary_keys = sum(put.value is not None for put in self._summary)
@@ -627,15 +546,6 @@
             log.info("%s", line)
         return TELL_S
 
-    def _catalog_step(self) -> float:
-        self._pace()
-        types = self.cloud.catalog()
-        first = not self.engine.types
-        self.engine.set_types(types)
-        if first:
-            self._kick.set()
-        return 25.0 if self.engine.owner else 60.0
-
     def _peer_step(self) -> float:
         """Ask the others over the mesh: is the owner in reach, is a higher token about."""
         for name, ask in self.peers.items():
@@ -655,37 +565,13 @@
         return 1.0
 
     def _cancelled_step(self) -> float:
-        """Tell the owner of the cancellations that were confirmed here. It learns of them by its watch as a
-        rule; where the state service refuses it, or everybody a moment later, this is how it learns of them
-        before the bound on its answers."""
-        self._told.wait(1.0)
-        self._told.clear()
-        return 0.0 if self.tell_cancelled() else 0.3
-
-    def tell_cancelled(self) -> bool:
-        """One try; whether nothing is left to tell."""
-        wall, owner = self.wall(), self.membership.view.owner
-        with self._untold_lock:
-            # Later than that it is too late, and nobody needs it.
-            cancel_s = self.settings.facts.workers.cancel_s
-            self._untold = {job: at for job, at in self._untold.items() if wall - at < cancel_s}
-            told = dict(self._untold)
-        if not told:
-            return True
-        tell = self._tellers.get(owner)
-        if owner != self.name and (tell is None or not tell(told)):
-            log.debug("%s is not told of %d cancellations", owner or "nobody", len(told))
-            self._told.set()
-            return False
-        with self._untold_lock:
-            for job in told:
-                self._untold.pop(job, None)
-        return True
+        self.notices.wait(NOTICE_WAIT_S)
+        return 0.0 if self.notices.send() else NOTICE_RETRY_S
 
     def hear_cancelled(self, cancelled: dict[str, float]) -> None:
         """Another controller has confirmed these cancellations."""
-        self.relay.call_off(cancelled)
-        self.engine.call_off(cancelled)
+        self.relay.note_cancelled(cancelled)
+        self.engine.note_cancelled(cancelled)
         self._kick.set()
 
     def _note_release(self, name: str, release: int) -> None:
@@ -722,52 +608,52 @@
 
     # -- workers ---------------------------------------------------------------------------------------
 
-    def report(self, report: workers.Report, after: float) -> Answer:
+    def report(self, report: workers.Report, after: float) -> Reply:
         """Answer a worker's report."""
         arrival = self.clock()
         if self.isolated():
             # It still hears us, but we can neither read nor write, and another has taken over or is about
             # to: let it find that one while its lease lasts.
-            return 503, jobs.error("cut off from the state service and the other controllers")
+            return Reply(503, jobs.error("cut off from the state service and the other controllers"))
         if report.token > self.membership.view.token:
             # Somebody commands with a higher token: not a word to workers before we have read its map.
             self.membership.heard(report.token)
             self.mirror.fresh(0.5)
             if report.token > self.membership.view.token:
-                return 503, jobs.error("behind the map")
+                return Reply(503, jobs.error("behind the map"))
         view = self.membership.view
         if self.membership.is_mine():
             return self._report_owned(report, arrival, after)
         if not view.owner or not self.membership.is_live(view.owner, view.incarnation):
-            return 503, jobs.error("no owner yet")
+            return Reply(503, jobs.error("no owner yet"))
         if self.relay.stale(report):
-            return 421, workers.redirect(view.owner)
+            return Reply(421, workers.redirect(view.owner))
         unreachable = view.owner in self._unreachable
         # The first report of all has tick 1 or so; a later one with our token comes from the owner.
         left = report.token == view.token and report.tick > 2
         if not self.relay.shelters(report.machine, unreachable, left):
-            return 421, workers.redirect(view.owner)
+            return Reply(421, workers.redirect(view.owner))
         if not self._served():
             # We could neither pass its report on nor know its orders, and the owner would take it for
             # silent: another in reach can do both.
             able = [name for name in self._served_peers() if name != view.owner]
             if able:
-                return 421, workers.redirect(able[0])
+                return Reply(421, workers.redirect(able[0]))
         return self._report_sheltered(report)
 
-    def _report_owned(self, report: workers.Report, arrival: float, after: float) -> Answer:
+    def _report_owned(self, report: workers.Report, arrival: float, after: float) -> Reply:
         engine = self.engine
         view = self.membership.view
         adopted = self._adopted
         if not engine.complete or engine.term != view.stamp:
             self._pause(adopted, ADOPT_WAIT_S)
         if not engine.complete or engine.term != view.stamp:
-            return 503, jobs.error("reading the records")
-        if not self._sure_soon():
-            return 503, jobs.error("not sure to be the owner still")
+            return Reply(503, jobs.error("reading the records"))
+        if not self._await_sure_owner():
+            return Reply(503, jobs.error("not sure to be the owner still"))
         index = engine.on_report(report, after)
         if index is None:
-            return 200, workers.answer(view.token, [])
+            return Reply(200, workers.answer(view.token, []))
         event = self._ready[index] = threading.Event()
         self._kick.set()
         if engine.has_news():
@@ -789,12 +675,12 @@
                 self._pause(event, hold - waited)
             else:
                 break
-        if self.membership.view.stamp != view.stamp or engine.term != view.stamp or not self._sure():
-            return 503, jobs.error("no longer the owner")
+        if self.membership.view.stamp != view.stamp or engine.term != view.stamp or not self.sure_owner():
+            return Reply(503, jobs.error("no longer the owner"))
         engine.answered(index, report, orders)
-        return 200, workers.answer(view.token, orders)
+        return Reply(200, workers.answer(view.token, orders))
 
-    def _report_sheltered(self, report: workers.Report) -> Answer:
+    def _report_sheltered(self, report: workers.Report) -> Reply:
         self.relay.note(report)
         if not self.mirror.fresh(1.5):
             # The state service is out or refuses us. The token we know may be old, but then the worker
@@ -802,10 +688,10 @@
             # so on any view, and stops.
             view = self.membership.view
             if self.clock() - self.mirror.as_of > self.engine.staleness_limit():
-                return 503, jobs.error("no view of the state")
-            return 200, workers.answer(view.token, self.relay.halts(report))
+                return Reply(503, jobs.error("no view of the state"))
+            return Reply(200, workers.answer(view.token, self.relay.halts(report)))
         view = self.membership.view
-        return 200, workers.answer(view.token, self.relay.orders(report))
+        return Reply(200, workers.answer(view.token, self.relay.orders(report)))
 
     # -- users -----------------------------------------------------------------------------------------
 
@@ -819,119 +705,14 @@
             return False
         return self._served() or not self._served_peers()
 
-    def _answered(self, call: Callable[[], Answer]) -> Answer:
-        """What can't be known or written now is answered at once: 503."""
-        try:
-            return call()
-        except Unavailable as bad:
-            return 503, jobs.error(str(bad))
+    def submit(self, body: bytes) -> Reply:
+        """Accept a job."""
+        return self._users.submit(body)
 
-    def _fresh(self) -> None:
-        if not self.mirror.fresh(USER_WAIT_S):
-            raise Unavailable(NO_STATE)
+    def query(self, job_id: str) -> Reply:
+        """A job's state."""
+        return self._users.query(job_id)
 
-    def _store(self, record: records.Record, stamp: int) -> bool:
-        """Write a user's change of a record that stands at `stamp`; False if it has changed since."""
-        key = records.key(record.spec.id)
-        value = records.fitted(record, self.limits.value_bytes) if record.over else records.encode(record)
-        try:
-            outcome = self.store.commit({key: stamp}, [Put(key, value)])
-        except TooLarge as bad:
-            log.error("job %s: %s", record.spec.id, bad)
-            raise
-        except (Unavailable, Unknown, LeaseGone) as bad:
-            raise Unavailable(NO_STATE) from bad
-        if outcome.applied:
-            self.mirror.apply([Row(key, value, outcome.revision)])
-        return outcome.applied
-
-    def submit(self, body: bytes) -> Answer:
-        """Accept a job: durable before the answer."""
-        return self._answered(lambda: self._submit(body))
-
-    def _submit(self, body: bytes) -> Answer:
-        try:
-            spec = jobs.parse_submission(body)
-        except jobs.Invalid as bad:
-            return 400, jobs.error(str(bad))
-        for _ in range(3):
-            self._fresh()
-            known = self.mirror.state(spec.id)
-            if known is not None:
-                return 200, jobs.answer(known)
-            refusal = self._refuse(spec)
-            if refusal is not None:
-                return refusal
-            record = records.Record(self._trimmed(spec), round(self.wall(), 2))
-            takes, most = records.size(records.encode(record)) + FINAL_BYTES, self.limits.value_bytes
-            too_large = 400, jobs.error(f"`$`: the job's description takes {takes} bytes, more than {most}")
-            if takes > most:
-                return too_large
-            try:
-                if self._store(record, 0):
-                    return 201, jobs.answer(records.State(record, 0))
-            except TooLarge:
-                return too_large
-        return 503, jobs.error("try again")
-
-    def _trimmed(self, spec: JobSpec) -> JobSpec:
-        """The job without machine types that the cloud does not have, so that no record outgrows a value."""
-        if spec.types is None:
-            return spec
-        known = {kind.name for kind in self.engine.catalog()}
-        return msgspec.structs.replace(spec, types=sorted(known & set(spec.types)))
-
-    def _refuse(self, spec: JobSpec) -> Answer | None:
-        types = self.engine.catalog()
-        if not types:
-            return 503, jobs.error("machine types are not known yet")
-        team = self.engine.teams_by.find(spec.team)
-        if team is None:
-            return 422, jobs.error(f"unknown team {spec.team}")
-        if not self.engine.shares[team].could_ever(spec):
-            return 422, jobs.error(f"it needs more than the limit of team {spec.team}")
-        zones: set[str] = set()
-        for kind in types:
-            if (spec.types is None or kind.name in spec.types) and kind.fits(spec):
-                zones.update(z for z in kind.zones if spec.zone in (None, z))
-        if not zones:
-            return 422, jobs.error("a task fits no allowed machine type")
-        if spec.shape != ARRAY and spec.spread and spec.tasks > 1 and (spec.one_zone or len(zones) < 2):
-            # An array's tasks may follow one another; these must all be there at a time.
-            return 422, jobs.error("its tasks can't be apart: there is one zone for them")
-        return None
-
-    def query(self, job_id: str) -> Answer:
-        """A job's state, never older than what anybody was told."""
-        return self._answered(lambda: self._query(job_id))
-
-    def _query(self, job_id: str) -> Answer:
-        found = self.mirror.state(job_id) if self.mirror.knows(job_id) else None
-        # Done and cancelled are final: the mirror is enough for them.
-        if found is None or not found.record.over:
-            self._fresh()
-            found = self.mirror.state(job_id)
-        if found is None:
-            return 404, jobs.error("no such job")
-        return 200, jobs.answer(found)
-
-    def cancel(self, job_id: str) -> Answer:
-        """Cancel a job: durable before the answer, and never after it was called done."""
-        return self._answered(lambda: self._cancel(job_id))
-
-    def _cancel(self, job_id: str) -> Answer:
-        for _ in range(6):
-            self._fresh()
-            found = self.mirror.state(job_id)
-            if found is None:
-                return 404, jobs.error("no such job")
-            if found.record.over:
-                return 200, jobs.answer(found)
-            now = round(self.wall(), 2)
-            changed = msgspec.structs.replace(found.record, cancelled=now, done=found.done)
-            if self._store(changed, found.stamp):
-                with self._untold_lock:
-                    self._untold[job_id] = now
-                self._told.set()
-                return 200, jobs.answer(records.State(changed, 0, 0, found.done))
-        return 503, jobs.error("the job changes too fast, try again")
+    def cancel(self, job_id: str) -> Reply:
+        """Cancel a job."""
+        return self._users.cancel(job_id)
--- a/bayford/coordination/relay.py
+++ b/bayford/coordination/relay.py
@@ -51,7 +51,7 @@
         self._changed = False
         self._published = -1e18
         self._keys = 0
-        self._called_off: set[str] = set()
+        self._known_cancelled: set[str] = set()
 
     def stale(self, report: workers.Report) -> bool:
         """Whether this is a late copy: the machine was here with a newer report, or with this one.
@@ -124,21 +124,21 @@
         ]
         return out
 
-    def call_off(self, jobs: Iterable[str]) -> None:
+    def note_cancelled(self, jobs: Iterable[str]) -> None:
         """Another controller has confirmed the cancellation of these; the mirror may not know it yet."""
         with self._lock:
-            if len(self._called_off) > MOST:
-                self._called_off.clear()  # told early is all that it is: the mirror will know
-            self._called_off.update(jobs)
+            if len(self._known_cancelled) > MOST:
+                self._known_cancelled.clear()  # told early is all that it is: the mirror will know
+            self._known_cancelled.update(jobs)
 
     def halts(self, report: workers.Report) -> list[workers.Order]:
         """The tasks of cancelled jobs on this machine, as far as is known here, on however old a view."""
         with self._lock:
-            called_off = set(self._called_off)
+            known_cancelled = set(self._known_cancelled)
         out: list[workers.Order] = []
         for state in report.tasks:
             job = (workers.split_task(state.part) or ("", 0))[0]
-            if state.phase != workers.ENDED and (job in called_off or self._mirror.cancelled(job)):
+            if state.phase != workers.ENDED and (job in known_cancelled or self._mirror.cancelled(job)):
                 out.append(workers.Halt(state.part, state.attempt, 0.0))
         return out
 
--- /dev/null
+++ b/bayford/coordination/user_requests.py
@@ -0,0 +1,184 @@
+"""Submissions, queries and cancellations, answered by any controller.
+
+Each is a transaction on the job's own record, or a read that was sent after the request came; so what one
+controller has told a user, no other contradicts. What can't be known or written now is answered 503 at once.
+"""
+
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from bayford.coordination.limits import Limits
+from bayford.coordination.responses import Reply
+from bayford.protocol import jobs
+from bayford.scheduling.model import ARRAY, JobSpec, MachineType
+from bayford.scheduling.quota import Share
+from bayford.storage import records
+from bayford.storage.mirror import Mirror
+from bayford.storage.store import LeaseGone, Put, Row, Store, TooLarge, Unavailable, Unknown
+
+log = logging.getLogger("bayford.users")
+
+NO_STATE = "the state service does not answer"
+READ_TIMEOUT_S = 1.2  # users give up on a query after 2 s
+FINAL_RECORD_GROWTH = 64  # bytes that a record may grow by until it is final
+SUBMIT_ATTEMPTS = 3
+CANCEL_ATTEMPTS = 6
+
+
+class Deployment(Protocol):
+    """What is known of the deployment to judge a submission by."""
+
+    def catalog(self) -> list[MachineType]:
+        """The machine types of the cloud; none before they are known."""
+
+    def team_share(self, team: str) -> Share | None:
+        """The guarantee and limit of a team, None for an unknown one."""
+
+
+class UserRequests:
+    """What users ask of one controller."""
+
+    def __init__(
+        self,
+        store: Store,
+        mirror: Mirror,
+        deployment: Deployment,
+        limits: Limits,
+        wall: Callable[[], float],
+        on_cancelled: Callable[[str, float], None],
+    ) -> None:
+        """`on_cancelled` is told of each cancellation confirmed here, and its time of day."""
+        self._store = store
+        self._mirror = mirror
+        self._deployment = deployment
+        self._limits = limits
+        self._wall = wall
+        self._on_cancelled = on_cancelled
+
+    def submit(self, body: bytes) -> Reply:
+        """Accept a job: durable before the answer."""
+        return self._or_unavailable(lambda: self._submit(body))
+
+    def query(self, job_id: str) -> Reply:
+        """A job's state, never older than what anybody was told."""
+        return self._or_unavailable(lambda: self._query(job_id))
+
+    def cancel(self, job_id: str) -> Reply:
+        """Cancel a job: durable before the answer, and never after it was called done."""
+        return self._or_unavailable(lambda: self._cancel(job_id))
+
+    @staticmethod
+    def _or_unavailable(answer: Callable[[], Reply]) -> Reply:
+        try:
+            return answer()
+        except Unavailable as bad:
+            return Reply(503, jobs.error(str(bad)))
+
+    def _read(self) -> None:
+        """Take in a read that is sent from now on."""
+        if not self._mirror.fresh(READ_TIMEOUT_S):
+            raise Unavailable(NO_STATE)
+
+    def _write(self, record: records.Record, stamp: int) -> bool:
+        """Write a user's change of a record that stands at `stamp`; False if it has changed since."""
+        key = records.key(record.spec.id)
+        value = records.fitted(record, self._limits.value_bytes) if record.over else records.encode(record)
+        try:
+            outcome = self._store.commit({key: stamp}, [Put(key, value)])
+        except TooLarge as bad:
+            log.error("job %s: %s", record.spec.id, bad)
+            raise
+        except (Unavailable, Unknown, LeaseGone) as bad:
+            raise Unavailable(NO_STATE) from bad
+        if outcome.applied:
+            self._mirror.apply([Row(key, value, outcome.revision)])
+        return outcome.applied
+
+    def _submit(self, body: bytes) -> Reply:
+        try:
+            spec = jobs.parse_submission(body)
+        except jobs.Invalid as bad:
+            return Reply(400, jobs.error(str(bad)))
+        for _ in range(SUBMIT_ATTEMPTS):
+            self._read()
+            known = self._mirror.state(spec.id)
+            if known is not None:
+                return Reply(200, jobs.answer(known))
+            refusal = self._refusal(spec)
+            if refusal is not None:
+                return refusal
+            record = records.Record(self._without_unknown_types(spec), round(self._wall(), 2))
+            size, most = records.size(records.encode(record)) + FINAL_RECORD_GROWTH, self._limits.value_bytes
+            too_large = Reply(
+                400, jobs.error(f"`$`: the job's description takes {size} bytes, more than {most}")
+            )
+            if size > most:
+                return too_large
+            try:
+                if self._write(record, 0):
+                    return Reply(201, jobs.answer(records.State(record, 0)))
+            except TooLarge:
+                return too_large
+        return Reply(503, jobs.error("try again"))
+
+    def _without_unknown_types(self, spec: JobSpec) -> JobSpec:
+        """The job without machine types that the cloud does not have, so that no record outgrows a value."""
+        if spec.types is None:
+            return spec
+        known = {kind.name for kind in self._deployment.catalog()}
+        return msgspec.structs.replace(spec, types=sorted(known & set(spec.types)))
+
+    def _refusal(self, spec: JobSpec) -> Reply | None:
+        """Why the job can't be accepted, or None."""
+        types = self._deployment.catalog()
+        if not types:
+            return Reply(503, jobs.error("machine types are not known yet"))
+        share = self._deployment.team_share(spec.team)
+        if share is None:
+            return Reply(422, jobs.error(f"unknown team {spec.team}"))
+        if not share.could_ever(spec):
+            return Reply(422, jobs.error(f"it needs more than the limit of team {spec.team}"))
+        zones = _zones_that_fit(spec, types)
+        if not zones:
+            return Reply(422, jobs.error("a task fits no allowed machine type"))
+        if spec.shape != ARRAY and spec.spread and spec.tasks > 1 and (spec.one_zone or len(zones) < 2):
+            # An array's tasks may follow one another; these must all be there at a time.
+            return Reply(422, jobs.error("its tasks can't be apart: there is one zone for them"))
+        return None
+
+    def _query(self, job_id: str) -> Reply:
+        found = self._mirror.state(job_id) if self._mirror.knows(job_id) else None
+        # Done and cancelled are final: the mirror is enough for them.
+        if found is None or not found.record.over:
+            self._read()
+            found = self._mirror.state(job_id)
+        if found is None:
+            return Reply(404, jobs.error("no such job"))
+        return Reply(200, jobs.answer(found))
+
+    def _cancel(self, job_id: str) -> Reply:
+        for _ in range(CANCEL_ATTEMPTS):
+            self._read()
+            found = self._mirror.state(job_id)
+            if found is None:
+                return Reply(404, jobs.error("no such job"))
+            if found.record.over:
+                return Reply(200, jobs.answer(found))
+            now = round(self._wall(), 2)
+            changed = msgspec.structs.replace(found.record, cancelled=now, done=found.done)
+            if self._write(changed, found.stamp):
+                self._on_cancelled(job_id, now)
+                return Reply(200, jobs.answer(records.State(changed, 0, 0, found.done)))
+        return Reply(503, jobs.error("the job changes too fast, try again"))
+
+
+def _zones_that_fit(spec: JobSpec, types: list[MachineType]) -> set[str]:
+    """The zones in which a task of the job fits an allowed machine type."""
+    zones: set[str] = set()
+    for kind in types:
+        if (spec.types is None or kind.name in spec.types) and kind.fits(spec):
+            zones.update(zone for zone in kind.zones if spec.zone in (None, zone))
+    return zones
--- a/bayford/transport/front.py
+++ b/bayford/transport/front.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from bayford.coordination.controller import RETRY_S, Answer, Controller
+from bayford.coordination.controller import Controller
+from bayford.coordination.responses import RETRY_AFTER_S, Reply
 from bayford.protocol import jobs, mesh, workers
 from bayford.transport.limit import Limit
 from bayford.transport.server import Request, Response
@@ -41,8 +42,8 @@
             report = workers.parse_report(request.body)
         except jobs.Invalid as bad:
             return Response(400, jobs.error(str(bad)))
-        status, body = self._controller.report(report, request.after)
-        return Response(status, body, idle_s=self._worker_idle_s)
+        reply = self._controller.report(report, request.after)
+        return Response(reply.status, reply.body, idle_s=self._worker_idle_s)
 
     def _user(self, request: Request, path: str) -> Response:
         rest = path[len(jobs.SUBMIT_PATH) :].strip("/").split("/")
@@ -63,24 +64,26 @@
             if entered:
                 response = self._serve(request, rest)
             else:
-                response = _later(503, jobs.error("too many requests in progress"))
+                response = _later(jobs.error("too many requests in progress"))
         if request.crowded:
             response.idle_s = 0.0  # users' connections must not shut out the workers
         return response
 
     def _serve(self, request: Request, rest: list[str]) -> Response:
-        answer: Answer
+        reply: Reply
         if rest == [""]:
-            answer = self._controller.submit(request.body)
+            reply = self._controller.submit(request.body)
         elif len(rest) == 1:
-            answer = self._controller.query(rest[0])
+            reply = self._controller.query(rest[0])
         else:
-            answer = self._controller.cancel(rest[0])
-        return _later(*answer) if answer[0] == 503 else Response(*answer)
+            reply = self._controller.cancel(rest[0])
+        if reply.status == 503:
+            return _later(reply.body)
+        return Response(reply.status, reply.body)
 
 
-def _later(status: int, body: bytes) -> Response:
-    return Response(status, body, (("Retry-After", str(RETRY_S)),))
+def _later(body: bytes) -> Response:
+    return Response(503, body, (("Retry-After", str(RETRY_AFTER_S)),))
 
 
 def _wrong_method(allowed: str) -> Response:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -60,7 +60,7 @@
     w.state.refuses.add(name)
     wait(w, refused_s, fleet=False)
     assert w.cancel(other, "req-000001") == "aborted"
-    w.nodes[other].tell_cancelled()
+    w.nodes[other].notices.send()
     w.state.down = True
     assert not owner.mirror.cancelled("req-000001"), "the owner has not read it"
     wait(w, 2.0)
@@ -137,17 +137,17 @@
     name, owner, other = owned(w)
     w.state.refuses.add(name)
     assert w.cancel(other, "req-000001") == "aborted"
-    w.nodes[other].tell_cancelled()
+    w.nodes[other].notices.send()
     assert owner.engine.jobs["req-000001"].cancelled
-    assert not owner._unrivalled()
+    assert not owner.unrivalled()
     w.state.down = True
     wait(w, 8.0, fleet=False)  # by then no other says any more that it is served
-    assert owner._unrivalled()
+    assert owner.unrivalled()
     owner._peers_served[other] = w.clock.now
-    assert not owner._unrivalled(), "another is served"
+    assert not owner.unrivalled(), "another is served"
     owner._peers_served.clear()
     owner.membership.heard(owner.membership.view.token + 1)
-    assert not owner._unrivalled(), "somebody has seen a higher token"
+    assert not owner.unrivalled(), "somebody has seen a higher token"
 
 
 def test_a_relay_halts_what_it_knows_as_cancelled_without_a_fresh_view():
@@ -177,8 +177,8 @@
     assert w.cancel(other, "req-000001") == "aborted"
     w.state.down = True
     w.pass_time(owner.engine.staleness_limit() + 1.0)
-    assert not owner._sure()
-    assert w.nodes[other].tell_cancelled()
+    assert not owner.sure_owner()
+    assert w.nodes[other].notices.send()
     w.step_node(name)
     assert not running(w), "halted by a direct command"
 
@@ -189,15 +189,15 @@
     w.mesh_cut.add(name)
     w.state.refuses.add(name)
     assert w.cancel(other, "req-000001") == "aborted"
-    assert not w.nodes[other].tell_cancelled()
+    assert not w.nodes[other].notices.send()
     w.mesh_cut.clear()
-    assert w.nodes[other].tell_cancelled() and owner.engine.jobs["req-000001"].cancelled
+    assert w.nodes[other].notices.send() and owner.engine.jobs["req-000001"].cancelled
     w.mesh_cut.add(name)
     w.submit(other, w.job(2))
     assert w.cancel(other, "req-000002") == "aborted"
-    assert not w.nodes[other].tell_cancelled()
+    assert not w.nodes[other].notices.send()
     w.pass_time(w.cancel_s)
-    assert w.nodes[other].tell_cancelled(), "too late to be of use to anybody"
+    assert w.nodes[other].notices.send(), "too late to be of use to anybody"
 
 
 def test_news_of_cancellations_over_the_mesh_are_checked_and_unknown_to_older_releases():
@@ -221,7 +221,7 @@
     w.state.blind.add(name)
     assert w.submit(other, w.job(1)) == 201
     assert w.cancel(other, "req-000001") == "aborted"
-    assert w.nodes[other].tell_cancelled()
+    assert w.nodes[other].notices.send()
     w.state.blind.clear()
     wait(w, 5.0, fleet=False)
     assert not running(w) and "req-000001" not in owner.engine.jobs
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -1020,7 +1020,7 @@
     node = w.nodes["n0"]
     began = w.clock.now
     for _ in range(30):
-        node._pace()
+        node.cloud_calls.pace()
     assert 30 / (w.clock.now - began) < 3.0 * 1.3
 
 
@@ -1415,9 +1415,9 @@
         if first == "fleet":
             w.fleet(old)
         elif first == "delete":
-            node.delete(sorted(w.workers))
+            node.cloud_calls.delete(sorted(w.workers))
         elif first == "rent":
-            node.rent("small", "north", True, 3, "backlog")
+            node.cloud_calls.rent("small", "north", True, 3, "backlog")
             assert not node.engine.refused, "the cloud was not asked, so it has refused nothing"
         elif first == "command":
             index = node.engine.machines_by.find(worker.name)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -369,10 +369,10 @@
     w = upgrading()
     renew(w, "n2")
     assert w.owner() in w.old and "n2" not in w.old
-    w.nodes["n2"]._tellers = {name: lambda told: heard.append(told) or True for name in w.old}
+    w.nodes["n2"].notices.notify = {name: lambda told: heard.append(told) or True for name in w.old}
     heard: list[dict] = []
     assert w.cancel("n2", "req-000001") == "aborted"
-    assert w.nodes["n2"].tell_cancelled() and w.nodes["n2"].tell_cancelled()
+    assert w.nodes["n2"].notices.send() and w.nodes["n2"].notices.send()
     assert [list(told) for told in heard] == [["req-000001"]], "once, and not again and again"
     for _ in range(4):
         w.step()
--- a/tests/world.py
+++ b/tests/world.py
@@ -436,21 +436,21 @@
 
             return ask
 
-        def teller(other: str) -> Callable[[dict[str, float]], bool]:
-            def tell(cancelled: dict[str, float]) -> bool:
+        def notifier(other: str) -> Callable[[dict[str, float]], bool]:
+            def notify(cancelled: dict[str, float]) -> bool:
                 if not meets(other):
                     return False
                 if other not in self.old:
                     self.nodes[other].hear_cancelled(mesh.decode_cancelled(mesh.encode_cancelled(cancelled)))
                 return True
 
-            return tell
+            return notify
 
         others = [other for other in self.names if other != name]
         peers = {other: asker(other) for other in others}
         node = Controller(
             settings, engine, StateOf(self.state, name), self, f"i{self.incarnations}", peers,
-            {other: teller(other) for other in others},
+            {other: notifier(other) for other in others},
             lambda address, body: self.command(name, address, body),
             clock=self.clock, wall=self.clock.wall, pause=pause, threaded=False,
             release=1 if name in self.old else mesh.RELEASE,
@@ -489,7 +489,7 @@
         self.try_(lambda: node.mirror.pull(0.0))
         self.try_(node._member_step)
         self.try_(node._peer_step)
-        node.tell_cancelled()
+        node.notices.send()
         if node.engine.owner:
             node.engine.round()
             for _ in range(3):
@@ -503,12 +503,12 @@
         node = self.nodes[name]
         if not node.engine.owner or name in self.frozen:
             return
-        self.try_(node._list_step)
+        self.try_(node.cloud_calls.list_step)
         step = node.fleet_once()
         for rental in step.rentals:
-            node.rent(*rental)
+            node.cloud_calls.rent(*rental)
         if step.deletions:
-            node.delete([n for n, _ in step.deletions])
+            node.cloud_calls.delete([n for n, _ in step.deletions])
 
     def step(self, seconds: float = 0.5) -> None:
         """Some time passes: every controller steps, every worker reports to the owner."""
