coordination: modules and classes have the field's names

owner_state, worker_reports, scheduling_round, autoscaler, stall_detector; peers on an older release, map following, relayed reports. No change of behaviour, of stored forms or of log facts.

--- a/bayford/coordination/renting.py
+++ b/bayford/coordination/autoscaler.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from bayford.coordination.reports import RUNS_S
-from bayford.coordination.rounds import Rounds
+from bayford.coordination.scheduling_round import SchedulingRound
+from bayford.coordination.worker_reports import RUNS_S
 from bayford.scheduling import fleet, placement
 from bayford.scheduling.model import (
     EPS,
@@ -27,7 +27,7 @@
     deletions: list[tuple[str, str]] = field(default_factory=list)  # name, why
 
 
-class Renting(Rounds):
+class Autoscaler(SchedulingRound):
     """The fleet: what waits for machines, and which machines go back."""
 
     def on_list(self, listed: Iterable[tuple[str, str, str, bool, str, float]], began: float) -> None:
--- a/bayford/coordination/cloud_calls.py
+++ b/bayford/coordination/cloud_calls.py
@@ -10,9 +10,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from bayford.coordination.autoscaler import FleetStep
 from bayford.coordination.budget import Budget
 from bayford.coordination.engine import Engine
-from bayford.coordination.renting import FleetStep
 from bayford.protocol.cloud_api import Cloud, CloudBusy, NoCapacity
 
 log = logging.getLogger("bayford.cloud")
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -9,15 +9,15 @@
 from bayford.config import Settings
 from bayford.coordination import handover
 from bayford.coordination import relay as relaying
-from bayford.coordination.books import Batch
+from bayford.coordination.autoscaler import FleetStep
 from bayford.coordination.budget import Budget
 from bayford.coordination.cancellation_notices import CancellationNotices, Notify
 from bayford.coordination.cloud_calls import CloudCalls
 from bayford.coordination.engine import Engine
 from bayford.coordination.membership import Membership
-from bayford.coordination.pulse import BEAT_S, Pulse
-from bayford.coordination.renting import FleetStep
+from bayford.coordination.owner_state import Batch
 from bayford.coordination.responses import Reply
+from bayford.coordination.stall_detector import CHECK_PERIOD_S, StallDetector
 from bayford.coordination.user_requests import UserRequests
 from bayford.protocol import jobs, mesh, workers
 from bayford.protocol.cloud_api import Cloud, CloudBusy
@@ -40,7 +40,7 @@
 SERVED_S = 3.0
 SETTLED_S = 4.0  # after its start, or an attempt, before a controller takes over from an older release
 ISOLATED_S = 4.0  # longer than a member's lease
-TELL_S = 15.0  # how often the log says who waits and why
+LOG_WAITING_S = 15.0  # how often the log says who waits and why
 SUMMARY_GAP_S = 0.7  # between two values of a summary
 SUMMARY_OLD_S = 180.0  # an older summary says nothing about the machines of now
 
@@ -88,7 +88,7 @@
         self._releases: dict[str, int] = {}  # of the other controllers, as each last said
         self.membership = Membership(
             store, self.mirror, self.name, incarnation, teams, clock, zones, limits=self.limits,
-            elders=self.elders,
+            older_peers=self.older_peers,
         )  # fmt: skip
         self.relay = relaying.Relay(self.name, self.mirror, self.limits, clock, wall)
         rate = self.limits.write_rps * 0.7
@@ -111,7 +111,7 @@
         self._summary_keys = 0
         self._summary: list[Put] = []  # what is still to be written of the newest one
         self._unreachable: set[str] = set()
-        self.pulse = Pulse(clock)
+        self.stalls = StallDetector(clock)
         self._adopted = threading.Event()  # set, and replaced by another, whenever we have become owner
         self._born = clock()
         self._succeeded = self._born
@@ -180,7 +180,7 @@
     def start(self) -> None:
         """Start all threads; they run until the process ends."""
         loops: list[tuple[str, Callable[[], float]]] = [
-            ("pulse", self._pulse_step),
+            ("stalls", self._stall_check_step),
             ("watch", self._watch_step),
             ("member", self._member_step),
             ("commit", self._commit_step),
@@ -194,7 +194,7 @@
             ("catalog", self.cloud_calls.catalog_step),
             ("peers", self._peer_step),
             ("summary", self.summary_step),
-            ("tell", self._tell_step),
+            ("waiting", self._log_waiting_step),
             *((f"command{n}", self._command_step) for n in range(COMMANDERS)),
         ]
         for name, step in loops:
@@ -217,9 +217,9 @@
             if pause > 0:
                 time.sleep(pause)
 
-    def _pulse_step(self) -> float:
-        self.pulse.woke()
-        return BEAT_S
+    def _stall_check_step(self) -> float:
+        self.stalls.resumed_at()
+        return CHECK_PERIOD_S
 
     def sure_owner(self) -> bool:
         """Whether we may act as the owner on the view we have.
@@ -232,7 +232,7 @@
         return (
             self.engine.owner
             and not self.membership.behind
-            and verified >= self.pulse.woke()
+            and verified >= self.stalls.resumed_at()
             and self.clock() - verified <= self.engine.staleness_limit()
         )
 
@@ -260,18 +260,18 @@
 
     def _member_step(self) -> float:
         self.membership.step()
-        self._succeed()
-        self._settle(adopt=True)
+        self._take_over_from_older_release()
+        self._follow_map(adopt=True)
         self._hand_over()
-        self._lay_out()
+        self._record_layout()
         self._publish()
         return 0.15
 
-    def elders(self) -> set[str]:
+    def older_peers(self) -> set[str]:
         """The other controllers that run an older release than this one."""
         return {name for name, release in self._releases.items() if release < self.release}
 
-    def _succeed(self) -> None:
+    def _take_over_from_older_release(self) -> None:
         """In an upgrade, take over from an older owner before it is killed: no lease has to run out for it,
         and no second takeover is needed. Only where nothing else is amiss: everybody in reach, the state
         service too."""
@@ -281,7 +281,7 @@
             and now - self._succeeded >= SETTLED_S
             and self._served()
             and not self._unreachable & set(self.membership.live())
-            and self.membership.succeed()
+            and self.membership.should_succeed_older()
         ):
             self._succeeded = now
             log.info("taking over from %s, which runs an older release", self.membership.view.owner)
@@ -305,7 +305,7 @@
         ):
             return
         contact = self.engine.worker_contact(now - handover.contact_window(facts.report_s))
-        candidates = set(self.membership.live()) - self.elders() - {self.name}
+        candidates = set(self.membership.live()) - self.older_peers() - {self.name}
         successor = handover.successor(contact, candidates)
         if successor is None:
             return
@@ -315,9 +315,9 @@
             successor, contact.relayed[successor], contact.direct,
         )  # fmt: skip
         self.membership.claim(successor)
-        self._settle()
+        self._follow_map()
 
-    def _lay_out(self) -> None:
+    def _record_layout(self) -> None:
         """Write down, once and for all, what the ledger is laid out for: settings with the limits to come
         must not change how it is read."""
         term = self.engine.term
@@ -328,7 +328,7 @@
             if outcome.applied:
                 self.mirror.apply([Row(records.LAYOUT, value, outcome.revision)])
 
-    def _settle(self, adopt: bool = False) -> None:
+    def _follow_map(self, adopt: bool = False) -> None:
         """Make the engine follow the map. Only the member thread adopts: two adoptions at a time could put
         records read before the first one's placements in place of what it has decided since."""
         view = self.membership.view
@@ -425,7 +425,7 @@
             self.mirror.pull(0.0)
             if records.MAP in outcome.failed:
                 log.info("deposed: the map has changed")
-                self._settle()
+                self._follow_map()
             for key in outcome.failed:
                 row = self.mirror.get(key)
                 if row is not None and key.startswith(records.JOBS):
@@ -452,14 +452,15 @@
         if not self.engine.owner:
             self._verify.clear()
             return
-        woke = self.pulse.woke()  # noted before the read, or this verification would not count after it
+        # Noted before the read, or this verification would not count after it.
+        resumed = self.stalls.resumed_at()
         verified = self.engine.verified_at
         often = min(VERIFY_S, 0.25 * self.engine.staleness_limit())
-        if not self._verify.is_set() and self.clock() - verified < often and verified >= woke:
+        if not self._verify.is_set() and self.clock() - verified < often and verified >= resumed:
             return
         self._verify.clear()
         self.mirror.fresh(GATE_WAIT_S)
-        self._settle()
+        self._follow_map()
 
     def _round_step(self) -> float:
         if self._kick.wait(0.5):
@@ -479,7 +480,7 @@
         if not self.sure_owner():
             self._listening = self.clock()
             return self.engine.overdue_step() if self.unrivalled() else FleetStep()
-        return self.engine.fleet_step(max(self._listening, self.pulse.woke()))
+        return self.engine.fleet_step(max(self._listening, self.stalls.resumed_at()))
 
     def unrivalled(self) -> bool:
         """Whether, while our view is too old to act upon, no other controller can be known to have a better
@@ -541,10 +542,10 @@
                 return SUMMARY_GAP_S
         return max(1.0, self.engine.policy.summary_every_s)
 
-    def _tell_step(self) -> float:
+    def _log_waiting_step(self) -> float:
         for line in self.engine.waiting():
             log.info("%s", line)
-        return TELL_S
+        return LOG_WAITING_S
 
     def _peer_step(self) -> float:
         """Ask the others over the mesh: is the owner in reach, is a higher token about."""
@@ -561,7 +562,7 @@
                 self._peers_served[name] = self.clock()
         if self.membership.behind:
             self.mirror.pull(0.0)
-            self._settle()
+            self._follow_map()
         return 1.0
 
     def _cancelled_step(self) -> float:
@@ -631,7 +632,7 @@
         unreachable = view.owner in self._unreachable
         # The first report of all has tick 1 or so; a later one with our token comes from the owner.
         left = report.token == view.token and report.tick > 2
-        if not self.relay.shelters(report.machine, unreachable, left):
+        if not self.relay.should_answer(report.machine, unreachable, left):
             return Reply(421, workers.redirect(view.owner))
         if not self._served():
             # We could neither pass its report on nor know its orders, and the owner would take it for
@@ -639,7 +640,7 @@
             able = [name for name in self._served_peers() if name != view.owner]
             if able:
                 return Reply(421, workers.redirect(able[0]))
-        return self._report_sheltered(report)
+        return self._report_relayed(report)
 
     def _report_owned(self, report: workers.Report, arrival: float, after: float) -> Reply:
         engine = self.engine
@@ -680,7 +681,7 @@
         engine.answered(index, report, orders)
         return Reply(200, workers.answer(view.token, orders))
 
-    def _report_sheltered(self, report: workers.Report) -> Reply:
+    def _report_relayed(self, report: workers.Report) -> Reply:
         self.relay.note(report)
         if not self.mirror.fresh(1.5):
             # The state service is out or refuses us. The token we know may be old, but then the worker
--- a/bayford/coordination/engine.py
+++ b/bayford/coordination/engine.py
@@ -5,12 +5,12 @@
 `orders_for` lists. The safety argument is in docs/architecture.md; the rules that it rests on are stated
 where the code keeps them.
 
-It is built in four steps, each on the one before: `books` (records and versions), `reports` (workers),
-`rounds` (placement, preemption, the balancer), `renting` (the cloud).
+It is built in four steps, each on the one before: `owner_state` (records and versions), `worker_reports`,
+`scheduling_round` (placement, preemption, the balancer), `autoscaler` (machines).
 """
 
-from bayford.coordination.renting import Renting
+from bayford.coordination.autoscaler import Autoscaler
 
 
-class Engine(Renting):
+class Engine(Autoscaler):
     """All jobs and machines of this controller while it owns them."""
--- a/bayford/coordination/membership.py
+++ b/bayford/coordination/membership.py
@@ -73,11 +73,11 @@
         zones: dict[str, str] | None = None,
         *,
         limits: Limits,
-        elders: Callable[[], set[str]] = set,
+        older_peers: Callable[[], set[str]] = set,
     ) -> None:
-        """`zones`: where each controller, itself included, stands. `elders`: those in reach that run an older
-        release than ours."""
-        self._elders = elders
+        """`zones`: where each controller, itself included, stands. `older_peers`: those in reach that run an
+        older release than ours."""
+        self._older_peers = older_peers
         self._zones = zones or {}
         self._limits = limits
         self._store = store
@@ -151,22 +151,22 @@
     def turn(self) -> float:
         """How long to leave a vacant map to those before us: one after the other, since all see it at once.
         In an upgrade the older releases are still to go, so who is new already comes first."""
-        elders = self._elders()
-        order = sorted(self.live(), key=lambda name: (name in elders, name))
+        older_peers = self._older_peers()
+        order = sorted(self.live(), key=lambda name: (name in older_peers, name))
         alone = LONELY_S if lonely(self.name, self._zones) else 0.0
         return order.index(self.name) * STAGGER_S + alone
 
-    def succeed(self) -> bool:
+    def should_succeed_older(self) -> bool:
         """Whether to take over from an owner that lives: it runs an older release, so an upgrade is on and
         it is to be killed without notice, which would cost its lease. Of those who are new the first by name
         does."""
-        elders = self._elders()
+        older_peers = self._older_peers()
         live = self.live()
         return (
-            self.view.owner in elders
+            self.view.owner in older_peers
             and self.is_live(self.view.owner, self.view.incarnation)
             and self.is_live(self.name, self.incarnation)
-            and self.name == min((n for n in live if n not in elders), default="")
+            and self.name == min((n for n in live if n not in older_peers), default="")
         )
 
     def _orphaned(self) -> bool:
--- a/bayford/coordination/books.py
+++ b/bayford/coordination/owner_state.py
@@ -1,4 +1,4 @@
-"""The owner's books: its jobs and machines, what of them is durable, and what is to be written next.
+"""The state of the owner: its jobs and machines, what of them is durable, and what is to be written next.
 
 The base of the engine (see `engine`). Everything here runs under one short lock and does no I/O.
 """
@@ -55,7 +55,7 @@
 T = TypeVar("T")
 
 
-class Books:
+class OwnerState:
     """Jobs, machines, shares and versions of this controller while it is owner."""
 
     def __init__(
--- a/bayford/coordination/relay.py
+++ b/bayford/coordination/relay.py
@@ -18,7 +18,7 @@
 
 log = logging.getLogger("bayford.relay")
 
-SHELTER_S = 30.0
+RELAY_S = 30.0
 BACK_S, RETURN_S = 0.5, 20.0  # when a worker that could not reach the owner is back: 1 s at the least
 FIRST_S = 10.0  # until the owner is tried again by a machine that lost it
 AGAIN_S = 60.0
@@ -67,7 +67,7 @@
             self._latest[report.machine] = order
             return False
 
-    def shelters(self, machine: str, owner_unreachable: bool, left_owner: bool) -> bool:
+    def should_answer(self, machine: str, owner_unreachable: bool, left_owner: bool) -> bool:
         """Whether to answer this machine here. If not, it is about to be sent to the owner: remember that.
 
         A machine that comes back soon after it was sent to the owner could not reach it. One that has the
@@ -81,7 +81,7 @@
                 return True
             sent = self._sent_away.pop(machine, None)
             if sent is not None and BACK_S < now - sent < RETURN_S:
-                self._until[machine] = now + SHELTER_S
+                self._until[machine] = now + RELAY_S
                 return True
             if owner_unreachable or (left_owner and now - until > AGAIN_S):
                 self._until[machine] = now + FIRST_S
--- a/bayford/coordination/rounds.py
+++ b/bayford/coordination/scheduling_round.py
@@ -4,8 +4,8 @@
 import logging
 import math
 
-from bayford.coordination.books import Key
-from bayford.coordination.reports import Reports
+from bayford.coordination.owner_state import Key
+from bayford.coordination.worker_reports import WorkerReports
 from bayford.protocol import workers
 from bayford.scheduling import placement, preemption, tempered
 from bayford.scheduling.model import (
@@ -26,7 +26,7 @@
 NO_ROOM = "no room on an allowed machine"
 
 
-class Rounds(Reports):
+class SchedulingRound(WorkerReports):
     """One round over the queue of waiting work."""
 
     def round(self) -> None:
@@ -38,7 +38,7 @@
             for machine in self.noticed.values():
                 self._drain(machine, now)
             queue = self._queue(now)
-            self._make_quota(now)
+            self._make_room_under_limits(now)
             if not queue:
                 return
             self._place_all(queue, now)
@@ -338,16 +338,16 @@
             if not job.standing
         )
 
-    def _make_quota(self, now: float) -> None:
+    def _make_room_under_limits(self, now: float) -> None:
         """Have services run that their team's limit keeps from it while the team runs work of lower
         priority."""
         for job in self.jobs.values():
             if job.standing and job.waiting and not job.cancelled and job.not_before <= now:
                 lacking = len(job.waiting) - self.shares[job.team].room(job.spec)
                 if lacking > 0:
-                    self._give_way(job, lacking, now)
+                    self._stop_own_work_for(job, lacking, now)
 
-    def _give_way(self, job: Job, need: int, now: float) -> None:
+    def _stop_own_work_for(self, job: Job, need: int, now: float) -> None:
         """Stop work of the same team and of lower priority until `need` replicas fit under the team's limit:
         first what runs where a replica may go, of that what loses least. What stops already counts."""
         spec = job.spec
--- a/bayford/coordination/pulse.py
+++ b/bayford/coordination/stall_detector.py
@@ -8,28 +8,28 @@
 import threading
 from collections.abc import Callable
 
-# A shorter gap between two beats can't have cost us the membership, and a busy processor makes gaps too.
-STILL_S = 2.0
-BEAT_S = 0.25
+# A shorter gap between two checks can't have cost us the membership, and a busy processor makes gaps too.
+STALL_S = 2.0
+CHECK_PERIOD_S = 0.25
 
 
-class Pulse:
+class StallDetector:
     """When this process last went on after a standstill."""
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._lock = threading.Lock()
-        self._beat = clock()
-        self._woke = self._beat
+        self._checked_at = clock()
+        self._resumed_at = self._checked_at
 
-    def woke(self) -> float:
+    def resumed_at(self) -> float:
         """What was known before this moment may be old by any length of time.
 
-        A thread of its own calls this every `BEAT_S`. Whoever calls first after a gap finds it.
+        A thread of its own calls this every `CHECK_PERIOD_S`. Whoever calls first after a gap finds it.
         """
         with self._lock:
             now = self._clock()
-            if now - self._beat > STILL_S:
-                self._woke = now
-            self._beat = now
-            return self._woke
+            if now - self._checked_at > STALL_S:
+                self._resumed_at = now
+            self._checked_at = now
+            return self._resumed_at
--- a/bayford/coordination/reports.py
+++ b/bayford/coordination/worker_reports.py
@@ -2,8 +2,8 @@
 
 import logging
 
-from bayford.coordination.books import Books, Key
 from bayford.coordination.handover import WorkerContact
+from bayford.coordination.owner_state import Key, OwnerState
 from bayford.protocol import workers
 from bayford.scheduling.model import EPS, GANG, SERVICE, Job, Machine, Placement
 
@@ -17,7 +17,7 @@
 REST_S = 30.0  # and one that ends at every start waits for so long at the most
 
 
-class Reports(Books):
+class WorkerReports(OwnerState):
     """Reports in, orders out."""
 
     def on_report(
--- a/bayford/scheduling/placement.py
+++ b/bayford/scheduling/placement.py
@@ -103,7 +103,7 @@
 
 
 def choose_gang(job: Job, machines: Sequence[Machine], count: int) -> list[Machine] | None:
-    """Machines for `count` tasks at once, zone rules kept among them, or None. Books nothing."""
+    """Machines for `count` tasks at once, zone rules kept among them, or None. OwnerState nothing."""
     zones = sorted({m.zone for m in machines if m.zone is not None})
     groups = [[m for m in machines if m.zone == z] for z in zones] if job.spec.one_zone else [list(machines)]
     for group in groups:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -294,7 +294,7 @@
         assert w.owner() == "n2", "not handed to one that is still to go, nor back"
         assert len(running(w)) == 3
     assert w.nodes["n2"].membership.view.token == token + 1
-    assert not w.nodes["n0"].elders() and not w.nodes["n2"].elders()
+    assert not w.nodes["n0"].older_peers() and not w.nodes["n2"].older_peers()
 
 
 def test_no_takeover_from_an_old_owner_while_anybody_is_out_of_reach():
--- a/tests/world.py
+++ b/tests/world.py
@@ -479,7 +479,7 @@
             self.clock.now = min(end, self.clock.now + 0.5)
             for name, node in self.nodes.items():
                 if name not in self.frozen:
-                    node.pulse.woke()
+                    node.stalls.resumed_at()
 
     def step_node(self, name: str) -> None:
         """What the threads of one controller do in a while."""
