--- a/bayford/cli.py
+++ b/bayford/cli.py
@@ -40,7 +40,7 @@
     from bayford.protocol import mesh, workers
     from bayford.protocol.cloud_api import CloudApi
     from bayford.protocol.state_api import StateApi
-    from bayford.storage.store import Unavailable, Unknown
+    from bayford.storage.store import OutcomeUnknownError, UnavailableError
     from bayford.transport.client import Client
     from bayford.transport.front import Front, Mesh
     from bayford.transport.limit import Limit
@@ -61,7 +61,7 @@
             try:
                 status, body = client.call("GET", mesh.STATUS_PATH, None, timeout_s)
                 return mesh.decode_status(body) if status == 200 else None
-            except (Unavailable, Unknown, ValueError):
+            except (UnavailableError, OutcomeUnknownError, ValueError):
                 return None
 
         return ask
@@ -72,7 +72,7 @@
         def notify(cancelled: dict[str, float]) -> bool:
             try:
                 status, _ = client.call("POST", mesh.CANCELLED_PATH, mesh.encode_cancelled(cancelled), 1.0)
-            except (Unavailable, Unknown):
+            except (UnavailableError, OutcomeUnknownError):
                 return False
             return status in (200, 404)  # an older release knows no such path
 
@@ -84,7 +84,7 @@
         client = Client(*split_address(address), most_idle=0, connect_s=0.7)
         try:
             status, answer = client.call("POST", workers.COMMANDS_PATH, body, 1.5)
-        except (Unavailable, Unknown):
+        except (UnavailableError, OutcomeUnknownError):
             return None
         return answer if status in (200, 409) else None
 
--- a/bayford/coordination/cloud_calls.py
+++ b/bayford/coordination/cloud_calls.py
@@ -13,7 +13,7 @@
 from bayford.coordination.autoscaler import FleetStep
 from bayford.coordination.budget import Budget
 from bayford.coordination.engine import Engine
-from bayford.protocol.cloud_api import Cloud, CloudBusy, NoCapacity
+from bayford.protocol.cloud_api import Cloud, CloudBusyError, NoCapacityError
 
 log = logging.getLogger("bayford.cloud")
 
@@ -124,9 +124,9 @@
             try:
                 names = self._cloud.rent(request, kind, zone, spot, asked)
                 break
-            except NoCapacity:
+            except NoCapacityError:
                 break
-            except CloudBusy as bad:
+            except CloudBusyError as bad:
                 # The same request may be repeated: if it was carried out, the answer is the same.
                 log.info("rental %s: %s", request, bad)
                 self._pause(threading.Event(), 0.5 * 2**attempt)
@@ -154,7 +154,7 @@
                 return False
         try:
             self._cloud.delete(names)
-        except CloudBusy as bad:
+        except CloudBusyError as bad:
             log.info("deleting %s: %s", names, bad)
             self._engine.not_deleted(names)
             return False
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -20,10 +20,18 @@
 from bayford.coordination.stall_detector import CHECK_PERIOD_S, StallDetector
 from bayford.coordination.user_requests import UserRequests
 from bayford.protocol import jobs, mesh, workers
-from bayford.protocol.cloud_api import Cloud, CloudBusy
+from bayford.protocol.cloud_api import Cloud, CloudBusyError
 from bayford.storage import records, summary
 from bayford.storage.mirror import Mirror
-from bayford.storage.store import LeaseGone, Put, Row, Store, TooLarge, Unavailable, Unknown
+from bayford.storage.store import (
+    LeaseGoneError,
+    OutcomeUnknownError,
+    Put,
+    Row,
+    Store,
+    TooLargeError,
+    UnavailableError,
+)
 
 log = logging.getLogger("bayford.controller")
 
@@ -172,7 +180,7 @@
     def _tell_engine(self, row: Row) -> None:
         try:
             self.engine.on_row(records.decode(row.value), row.stamp)
-        except records.Unreadable as bad:
+        except records.UnreadableError as bad:
             log.error("%s: %s", row.key, bad)
 
     # -- threads ---------------------------------------------------------------------------------------
@@ -207,7 +215,7 @@
         while True:
             try:
                 pause = step()
-            except (Unavailable, Unknown, LeaseGone, CloudBusy) as bad:
+            except (UnavailableError, OutcomeUnknownError, LeaseGoneError, CloudBusyError) as bad:
                 log.debug("%s: %s", name, bad)
                 pause = 0.3
             except Exception:
@@ -362,7 +370,7 @@
             return
         try:
             self._put_all(puts)
-        except (Unavailable, Unknown):
+        except (UnavailableError, OutcomeUnknownError):
             self.relay.not_published()
             raise
 
@@ -374,7 +382,7 @@
             some = puts[at : at + step]
             try:
                 self.store.commit({}, some)
-            except TooLarge as bad:
+            except TooLargeError as bad:
                 if len(some) > 1:
                     self._put_all(some, len(some) // 2)
                 else:
@@ -406,12 +414,12 @@
     def _write(self, batch: Batch) -> None:
         try:
             outcome = self.store.commit(batch.conditions, batch.puts)
-        except TooLarge:
+        except TooLargeError:
             # The same once more would be refused once more, and nothing would ever be written again.
             self.engine.not_committed(batch)
             self.limits.too_large(len(batch.puts), max(records.size(p.value) for p in batch.puts))
             return
-        except Unavailable as bad:
+        except UnavailableError as bad:
             self.engine.not_committed(batch)
             self.writes.drain()
             log.debug("commit refused: %s", bad)
--- a/bayford/coordination/membership.py
+++ b/bayford/coordination/membership.py
@@ -16,7 +16,7 @@
 from bayford.coordination.limits import Limits
 from bayford.storage import records
 from bayford.storage.mirror import Mirror
-from bayford.storage.store import LeaseGone, Put, Row, Store, Unavailable, Unknown
+from bayford.storage.store import LeaseGoneError, OutcomeUnknownError, Put, Row, Store, UnavailableError
 
 log = logging.getLogger("bayford.membership")
 
@@ -184,7 +184,7 @@
                     self.renewed = self.answered = now
                     if self.is_live(self.name, self.incarnation) or self._mirror.revision < 0:
                         return
-                except LeaseGone:
+                except LeaseGoneError:
                     log.info("lease ended, taking a new one")
                     self._lease = None
             if self._lease is None:
@@ -202,20 +202,20 @@
             else:
                 self._mirror.pull(0.0)
                 self._renewed = -1e18  # again at once
-        except LeaseGone:
+        except LeaseGoneError:
             self._lease = None
-        except Unavailable as bad:
+        except UnavailableError as bad:
             if bad.refused:
                 self.answered = now
             log.debug("lease: %s", bad)
-        except Unknown as bad:
+        except OutcomeUnknownError as bad:
             log.debug("lease: %s", bad)
 
     def _take_over(self) -> None:
         """Compare-and-set a new map, token raised, with ourselves as owner of the orphaned teams."""
         try:
             self._mirror.pull(0.0)
-        except (Unavailable, Unknown):
+        except (UnavailableError, OutcomeUnknownError):
             return
         if self._orphaned():
             self.claim(self.name)
@@ -237,7 +237,7 @@
             value["members"] = {name: live[name] for name in value["owners"].values()}
         try:
             outcome = self._store.commit({records.MAP: view.stamp}, [Put(records.MAP, value)])
-        except (Unavailable, Unknown, LeaseGone) as bad:
+        except (UnavailableError, OutcomeUnknownError, LeaseGoneError) as bad:
             log.info("could not write the map: %s", bad)
             return False
         if outcome.applied:
--- a/bayford/coordination/user_requests.py
+++ b/bayford/coordination/user_requests.py
@@ -17,7 +17,15 @@
 from bayford.scheduling.quota import Share
 from bayford.storage import records
 from bayford.storage.mirror import Mirror
-from bayford.storage.store import LeaseGone, Put, Row, Store, TooLarge, Unavailable, Unknown
+from bayford.storage.store import (
+    LeaseGoneError,
+    OutcomeUnknownError,
+    Put,
+    Row,
+    Store,
+    TooLargeError,
+    UnavailableError,
+)
 
 log = logging.getLogger("bayford.users")
 
@@ -74,13 +82,13 @@
     def _or_unavailable(answer: Callable[[], Reply]) -> Reply:
         try:
             return answer()
-        except Unavailable as bad:
+        except UnavailableError as bad:
             return Reply(503, jobs.error(str(bad)))
 
     def _read(self) -> None:
         """Take in a read that is sent from now on."""
         if not self._mirror.fresh(READ_TIMEOUT_S):
-            raise Unavailable(NO_STATE)
+            raise UnavailableError(NO_STATE)
 
     def _write(self, record: records.Record, stamp: int) -> bool:
         """Write a user's change of a record that stands at `stamp`; False if it has changed since."""
@@ -88,11 +96,11 @@
         value = records.fitted(record, self._limits.value_bytes) if record.over else records.encode(record)
         try:
             outcome = self._store.commit({key: stamp}, [Put(key, value)])
-        except TooLarge as bad:
+        except TooLargeError as bad:
             log.error("job %s: %s", record.spec.id, bad)
             raise
-        except (Unavailable, Unknown, LeaseGone) as bad:
-            raise Unavailable(NO_STATE) from bad
+        except (UnavailableError, OutcomeUnknownError, LeaseGoneError) as bad:
+            raise UnavailableError(NO_STATE) from bad
         if outcome.applied:
             self._mirror.apply([Row(key, value, outcome.revision)])
         return outcome.applied
@@ -100,7 +108,7 @@
     def _submit(self, body: bytes) -> Reply:
         try:
             spec = jobs.parse_submission(body)
-        except jobs.Invalid as bad:
+        except jobs.InvalidError as bad:
             return Reply(400, jobs.error(str(bad)))
         for _ in range(SUBMIT_ATTEMPTS):
             self._read()
@@ -120,7 +128,7 @@
             try:
                 if self._write(record, 0):
                     return Reply(201, jobs.answer(records.State(record, 0)))
-            except TooLarge:
+            except TooLargeError:
                 return too_large
         return Reply(503, jobs.error("try again"))
 
--- a/bayford/protocol/cloud_api.py
+++ b/bayford/protocol/cloud_api.py
@@ -11,11 +11,11 @@
 Caller = Callable[[str, str, bytes | None, float], tuple[int, bytes]]
 
 
-class CloudBusy(Exception):
+class CloudBusyError(Exception):
     """Refused or no answer: 429, 503 trouble, timeout. The same request may be sent again."""
 
 
-class NoCapacity(Exception):
+class NoCapacityError(Exception):
     """None available of this type, zone and kind."""
 
 
@@ -85,12 +85,12 @@
         try:
             status, raw = self._call(method, path, data, self._timeout)
         except Exception as bad:
-            raise CloudBusy(f"{path}: {bad!r}") from bad
+            raise CloudBusyError(f"{path}: {bad!r}") from bad
         if status == 200:
             return raw
         if status == 503 and b"no capacity" in raw:
-            raise NoCapacity
-        raise CloudBusy(f"{path}: {status} {raw[:120]!r}")
+            raise NoCapacityError
+        raise CloudBusyError(f"{path}: {status} {raw[:120]!r}")
 
     def catalog(self) -> list[MachineType]:
         """The machine types."""
--- a/bayford/protocol/jobs.py
+++ b/bayford/protocol/jobs.py
@@ -24,7 +24,7 @@
 _RANKS = {"idle": 0, "normal": 1, "urgent": 2, "critical": 3}
 
 
-class Invalid(Exception):
+class InvalidError(Exception):
     """A message that is malformed: the status is 400."""
 
 
@@ -54,12 +54,12 @@
 def _pairs(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     out = dict(pairs)
     if len(out) != len(pairs):
-        raise Invalid("a field appears twice")
+        raise InvalidError("a field appears twice")
     return out
 
 
 def _constant(name: str) -> Any:
-    raise Invalid(f"{name} is not JSON")
+    raise InvalidError(f"{name} is not JSON")
 
 
 def parse_object(body: bytes) -> dict[str, Any]:
@@ -70,9 +70,9 @@
     try:
         value = json.loads(body.decode("utf-8"), object_pairs_hook=_pairs, parse_constant=_constant)
     except (ValueError, RecursionError) as bad:
-        raise Invalid(f"not JSON: {bad}") from bad
+        raise InvalidError(f"not JSON: {bad}") from bad
     if not isinstance(value, dict):
-        raise Invalid("not an object")
+        raise InvalidError("not an object")
     return value
 
 
@@ -86,26 +86,26 @@
     try:
         got = msgspec.convert(parse_object(body), _Submission, strict=True)
     except msgspec.ValidationError as bad:
-        raise Invalid(str(bad)) from bad
+        raise InvalidError(str(bad)) from bad
     if job_id(got.id) is None:
-        raise Invalid("`$.id`: not a job id")
+        raise InvalidError("`$.id`: not a job id")
     if got.shape not in _SHAPES:
-        raise Invalid(f"`$.shape`: unknown shape {got.shape[:40]!r}")
+        raise InvalidError(f"`$.shape`: unknown shape {got.shape[:40]!r}")
     if got.rank not in _RANKS:
-        raise Invalid(f"`$.rank`: unknown rank {got.rank[:40]!r}")
+        raise InvalidError(f"`$.rank`: unknown rank {got.rank[:40]!r}")
     if not 1 <= got.parts <= MAX_TASKS:
-        raise Invalid(f"`$.parts`: not within 1 to {MAX_TASKS}")
+        raise InvalidError(f"`$.parts`: not within 1 to {MAX_TASKS}")
     for field in ("lane", "crew", "bundle"):
         if not 0 < len(getattr(got, field)) <= 200:
-            raise Invalid(f"`$.{field}`: empty or too long")
+            raise InvalidError(f"`$.{field}`: empty or too long")
     for field in ("cpus", "cards", "mem_gb", "size_gb", "guess_s", "bookmark_s", "stash_s", "due_s"):
         value = getattr(got, field)
         if value is not None and not (math.isfinite(value) and 0 <= value <= 1e12):
-            raise Invalid(f"`$.{field}`: must be a finite number, 0 or more")
+            raise InvalidError(f"`$.{field}`: must be a finite number, 0 or more")
     if got.cpus == 0 and got.cards == 0:
-        raise Invalid("`$.cpus`: a task takes some CPU or a card")
+        raise InvalidError("`$.cpus`: a task takes some CPU or a card")
     if got.builds is not None and not all(0 < len(b) <= 200 for b in got.builds):
-        raise Invalid("`$.builds`: empty or too long")
+        raise InvalidError("`$.builds`: empty or too long")
     return JobSpec(
         got.id,
         got.lane,
--- a/bayford/protocol/state_api.py
+++ b/bayford/protocol/state_api.py
@@ -7,7 +7,16 @@
 import msgspec
 import orjson
 
-from bayford.storage.store import Compacted, LeaseGone, Outcome, Put, Row, TooLarge, Unavailable, Unknown
+from bayford.storage.store import (
+    CompactedError,
+    LeaseGoneError,
+    Outcome,
+    OutcomeUnknownError,
+    Put,
+    Row,
+    TooLargeError,
+    UnavailableError,
+)
 
 # method, path, body, seconds to wait -> status, body. Raises Unavailable or Unknown, as `Store` says.
 Caller = Callable[[str, str, bytes | None, float], tuple[int, bytes]]
@@ -54,11 +63,11 @@
         data = None if body is None else orjson.dumps(body)
         status, raw = self._call(method, path, data, self._timeout + extra_s)
         if status in (429, 503):
-            raise Unavailable(f"{method} {path}: {status}", refused=True)
+            raise UnavailableError(f"{method} {path}: {status}", refused=True)
         if status not in ok:
             # Anything the page does not list is taken as not executed only if it says so: 4xx.
             text = f"{method} {path}: {status} {raw[:200]!r}"
-            raise Unavailable(text, refused=True) if 400 <= status < 500 else Unknown(text)
+            raise UnavailableError(text, refused=True) if 400 <= status < 500 else OutcomeUnknownError(text)
         return status, raw
 
     def scan(self, prefix: str) -> tuple[list[Row], int]:
@@ -99,19 +108,19 @@
             got = _result.decode(raw)
             return Outcome(got.epoch, tuple(got.failed) or ("?",))
         if status == 400 and b"no such lease" in raw:
-            raise LeaseGone
+            raise LeaseGoneError
         if status == 400:
-            raise TooLarge(f"transaction: {status} {raw[:200]!r}")
+            raise TooLargeError(f"transaction: {status} {raw[:200]!r}")
         if status in (429, 503):
-            raise Unavailable(f"transaction: {status} {raw[:200]!r}", refused=True)
-        raise Unknown(f"transaction: {status}")
+            raise UnavailableError(f"transaction: {status} {raw[:200]!r}", refused=True)
+        raise OutcomeUnknownError(f"transaction: {status}")
 
     def changes(self, prefix: str, since: int, wait_s: float) -> tuple[list[Row], int]:
         """Changes after `since`."""
         path = f"/changes?prefix={quote(prefix)}&since={since}&block_ms={int(wait_s * 1000)}"
         status, raw = self._ask("GET", path, extra_s=wait_s, ok=(200, 410))
         if status == 410:
-            raise Compacted
+            raise CompactedError
         got = _log.decode(raw)
         rows = []
         for event in got.log:
@@ -129,4 +138,4 @@
         """Extend a lease."""
         status, _ = self._ask("POST", f"/leases/{lease}/extend", {}, ok=(200, 204, 404))
         if status == 404:
-            raise LeaseGone
+            raise LeaseGoneError
--- a/bayford/protocol/workers.py
+++ b/bayford/protocol/workers.py
@@ -3,7 +3,7 @@
 import msgspec
 import orjson
 
-from bayford.protocol.jobs import Invalid
+from bayford.protocol.jobs import InvalidError
 
 REPORT_PATH = "/v1/report"
 COMMANDS_PATH = "/commands"
@@ -75,9 +75,9 @@
     try:
         report = _decoder.decode(body)
     except (msgspec.ValidationError, msgspec.DecodeError, UnicodeDecodeError) as bad:
-        raise Invalid(str(bad)) from bad
+        raise InvalidError(str(bad)) from bad
     if not report.machine or report.session < 0 or report.tick < 0:
-        raise Invalid("a report without machine, session or tick")
+        raise InvalidError("a report without machine, session or tick")
     return report
 
 
--- a/bayford/storage/ledger.py
+++ b/bayford/storage/ledger.py
@@ -29,7 +29,7 @@
 
 import msgspec
 
-from bayford.storage.records import LOG, Unreadable
+from bayford.storage.records import LOG, UnreadableError
 
 Block = tuple[str, int]  # job, number of the run of tasks
 Place = tuple[int, str, int]  # attempt, machine, session
@@ -147,7 +147,7 @@
                 self.free.append((slot, stamp))
                 continue
             if value.n != self.next:
-                raise Unreadable(f"the ledger lacks row {self.next}")
+                raise UnreadableError(f"the ledger lacks row {self.next}")
             self._apply(slot, stamp, value, whole=True)
 
     def _apply(self, slot: str, stamp: int, value: Value, whole: bool = False) -> None:
@@ -385,4 +385,4 @@
     try:
         return msgspec.convert(raw, Value)
     except msgspec.ValidationError as bad:
-        raise Unreadable(f"{slot}: not a row of the ledger: {bad}") from bad
+        raise UnreadableError(f"{slot}: not a row of the ledger: {bad}") from bad
--- a/bayford/storage/mirror.py
+++ b/bayford/storage/mirror.py
@@ -13,8 +13,8 @@
 
 from bayford.storage import records
 from bayford.storage.ledger import Ledger, Progress
-from bayford.storage.records import JOBS, LAYOUT, LOG, Unreadable
-from bayford.storage.store import Compacted, Row, Store, Unavailable, Unknown
+from bayford.storage.records import JOBS, LAYOUT, LOG, UnreadableError
+from bayford.storage.store import CompactedError, OutcomeUnknownError, Row, Store, UnavailableError
 
 log = logging.getLogger("bayford.mirror")
 
@@ -105,7 +105,7 @@
         try:
             for row in told:
                 self.ledger.take(row.key, row.stamp, row.value)
-        except Unreadable as bad:
+        except UnreadableError as bad:
             log.error("%s", bad)
             self._torn = True
 
@@ -113,12 +113,12 @@
         """Read everything again: at the start, and when the changes have been compacted."""
         with self._lock:
             if self._reading:
-                raise Unavailable("the records are being read")
+                raise UnavailableError("the records are being read")
             self._reading = True
         try:
             self._reload()
-        except Compacted as bad:
-            raise Unavailable("the records change faster than they are read") from bad
+        except CompactedError as bad:
+            raise UnavailableError("the records change faster than they are read") from bad
         finally:
             self._reading = False
 
@@ -159,7 +159,7 @@
         try:
             self.ledger.rebuild(found)
             self._torn = False
-        except Unreadable as bad:
+        except UnreadableError as bad:
             # Whatever it held must not pass for never having been: nobody starts anything from here.
             log.error("%s", bad)
 
@@ -170,7 +170,7 @@
         began = self._clock()
         try:
             rows, revision = self._store.changes(records.PREFIX, self.revision, wait_s)
-        except Compacted:
+        except CompactedError:
             self.reload()
         else:
             self.apply(rows, revision)
@@ -183,7 +183,7 @@
         """Something short on the ledger, which the caller must not keep."""
         with self._lock:
             if self._torn:
-                raise Unavailable("the records are being read")
+                raise UnavailableError("the records are being read")
             return call(self.ledger)
 
     # -- linearizable reads ----------------------------------------------------------------------------
@@ -225,7 +225,7 @@
     def _pull_once(self) -> bool:
         try:
             self.pull(0.0)
-        except (Unavailable, Unknown):
+        except (UnavailableError, OutcomeUnknownError):
             return False
         return True
 
@@ -251,19 +251,19 @@
     def state(self, job_id: str) -> records.State | None:
         """A job's record and where its tasks stand, or None if there is none.
 
-        Unavailable while the rows are being read again, or if they can't be read.
+        UnavailableError while the rows are being read again, or if they can't be read.
         """
         with self._lock:
             row = self._row(records.key(job_id))
             if row is None:
                 if self._torn:
-                    raise Unavailable("the records are being read")
+                    raise UnavailableError("the records are being read")
                 return None
             record = self._record(row)
             if record.over:
                 return records.State(record, row.stamp, 0, record.done)
             if self._torn:
-                raise Unavailable("the records are being read")
+                raise UnavailableError("the records are being read")
             progress = self.ledger.jobs.get(job_id)
             if progress is None:
                 return records.State(record, row.stamp)
@@ -275,9 +275,9 @@
             return known[1]
         try:
             record = records.decode(row.value)
-        except Unreadable as bad:
+        except UnreadableError as bad:
             log.error("%s: %s", row.key, bad)
-            raise Unavailable(f"{row.key} can't be read") from bad
+            raise UnavailableError(f"{row.key} can't be read") from bad
         self._records[row.key] = (row.stamp, record)
         return record
 
@@ -287,14 +287,14 @@
             row = self._row(records.key(job_id))
             try:
                 return row is not None and self._record(row).cancelled > 0
-            except Unavailable:
+            except UnavailableError:
                 return False
 
     def orders(self, machine: str) -> list[tuple[str, int, int, int, bool]]:
         """What the records put on a machine: job, task, attempt, session, whether the job is cancelled."""
         with self._lock:
             if self._torn:
-                raise Unavailable("the records are being read")
+                raise UnavailableError("the records are being read")
             out = []
             for (job, task), (attempt, session) in self.ledger.at.get(machine, {}).items():
                 row = self._row(records.key(job))
@@ -303,10 +303,10 @@
             return out
 
     def open_jobs(self) -> list[tuple[records.Record, int, Progress | None]]:
-        """All jobs that somebody must still look after, for a new owner. Unavailable if any can't be read."""
+        """All jobs that are not over, for a new owner. UnavailableError if any can't be read."""
         with self._lock:
             if self._torn:
-                raise Unavailable("the records are being read")
+                raise UnavailableError("the records are being read")
             out = []
             for row in self._families.get(JOBS, {}).values():
                 record = self._record(row)
--- a/bayford/storage/records.py
+++ b/bayford/storage/records.py
@@ -27,7 +27,7 @@
 SUMMARIES = "b/sum/"
 
 
-class Unreadable(Exception):
+class UnreadableError(Exception):
     """A value in the store that is not what we write. Never taken for an absent one."""
 
 
@@ -89,4 +89,4 @@
     try:
         return msgspec.convert(value, Record)
     except msgspec.ValidationError as bad:
-        raise Unreadable(f"not a job record: {bad}") from bad
+        raise UnreadableError(f"not a job record: {bad}") from bad
--- a/bayford/storage/store.py
+++ b/bayford/storage/store.py
@@ -7,7 +7,7 @@
 from typing import Any, Protocol
 
 
-class Unavailable(Exception):
+class UnavailableError(Exception):
     """Not executed: 503, 429 or no connection. Asking again is harmless."""
 
     def __init__(self, text: str, refused: bool = False) -> None:
@@ -16,22 +16,22 @@
         self.refused = refused
 
 
-class TooLarge(Unavailable):
+class TooLargeError(UnavailableError):
     """Refused for what it is, its size most likely: sent again as it stands it will be refused again."""
 
     def __init__(self, text: str) -> None:
         super().__init__(text, refused=True)
 
 
-class Unknown(Exception):
+class OutcomeUnknownError(Exception):
     """No answer: the request may have been executed, or may still be."""
 
 
-class LeaseGone(Exception):
+class LeaseGoneError(Exception):
     """The lease has ended; a new one is needed."""
 
 
-class Compacted(Exception):
+class CompactedError(Exception):
     """The revision asked for is too old: read the keys again."""
 
 
@@ -82,4 +82,4 @@
         """A new lease."""
 
     def renew(self, lease: int) -> None:
-        """Extend a lease by its full time, or raise LeaseGone."""
+        """Extend a lease by its full time, or raise LeaseGoneError."""
--- a/bayford/transport/client.py
+++ b/bayford/transport/client.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-from bayford.storage.store import Unavailable, Unknown
+from bayford.storage.store import OutcomeUnknownError, UnavailableError
 
 IDLE_S = 20.0
 
@@ -38,7 +38,10 @@
         connection.close()
 
     def call(self, method: str, path: str, body: bytes | None, timeout_s: float) -> tuple[int, bytes]:
-        """Send and wait. Unavailable: nothing was sent. Unknown: it may be executed, now or later."""
+        """Send and wait.
+
+        UnavailableError: nothing was sent. OutcomeUnknownError: it may be executed, now or later.
+        """
         connection = self._take()
         if connection is None:
             connection = http.client.HTTPConnection(self._host, self._port, timeout=self._connect_s)
@@ -47,7 +50,7 @@
                 connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             except OSError as bad:
                 connection.close()
-                raise Unavailable(f"{self._host}:{self._port}: {bad!r}") from bad
+                raise UnavailableError(f"{self._host}:{self._port}: {bad!r}") from bad
         try:
             connection.sock.settimeout(timeout_s)
             headers = {"Content-Type": "application/json"} if body is not None else {}
@@ -56,7 +59,7 @@
             data = response.read()
         except (OSError, http.client.HTTPException, AttributeError) as bad:
             connection.close()
-            raise Unknown(f"{method} {path.partition('?')[0]}: {bad!r}") from bad
+            raise OutcomeUnknownError(f"{method} {path.partition('?')[0]}: {bad!r}") from bad
         if response.will_close:
             connection.close()
         else:
--- a/bayford/transport/front.py
+++ b/bayford/transport/front.py
@@ -40,7 +40,7 @@
     def _report(self, request: Request) -> Response:
         try:
             report = workers.parse_report(request.body)
-        except jobs.Invalid as bad:
+        except jobs.InvalidError as bad:
             return Response(400, jobs.error(str(bad)))
         reply = self._controller.report(report, request.after)
         return Response(reply.status, reply.body, idle_s=self._worker_idle_s)
--- a/bayford/transport/server.py
+++ b/bayford/transport/server.py
@@ -50,7 +50,7 @@
 Handle = Callable[[Request], Response]
 
 
-class _Refused(Exception):
+class _RefusedError(Exception):
     def __init__(self, status: int, text: str) -> None:
         super().__init__(text)
         self.status = status
@@ -82,7 +82,7 @@
                 if not idle_s:
                     self.close_connection = True
                 after = self._send(response)
-        except _Refused as bad:
+        except _RefusedError as bad:
             self.close_connection = True
             body = b'{"error":"' + str(bad).encode() + b'"}'
             self._send(Response(bad.status, body))
@@ -104,9 +104,9 @@
         self.connection.settimeout(REQUEST_S)
         words = line.split()
         if len(line) > MAX_LINE:
-            raise _Refused(431, "line too long")
+            raise _RefusedError(431, "line too long")
         if len(words) != 3 or not words[2].startswith(b"HTTP/1."):
-            raise _Refused(400, "not an HTTP/1.1 request")
+            raise _RefusedError(400, "not an HTTP/1.1 request")
         headers: dict[str, str] = {}
         while True:
             line = self.rfile.readline(MAX_LINE + 1)
@@ -115,10 +115,10 @@
             if not line:
                 return None
             if len(line) > MAX_LINE or len(headers) >= MAX_HEADERS:
-                raise _Refused(431, "headers too long")
+                raise _RefusedError(431, "headers too long")
             name, colon, value = line.partition(b":")
             if not colon:
-                raise _Refused(400, "malformed header")
+                raise _RefusedError(400, "malformed header")
             headers[name.strip().lower().decode("latin-1")] = value.strip().decode("latin-1")
         if words[2] == b"HTTP/1.0" or headers.get("connection", "").lower() == "close":
             self.close_connection = True
@@ -132,10 +132,10 @@
             return self._chunks()
         text = headers.get("content-length", "0")
         if not text.isdigit():
-            raise _Refused(400, "bad content-length")
+            raise _RefusedError(400, "bad content-length")
         length = int(text)
         if length > MAX_BODY:
-            raise _Refused(413, "body over 64 KiB")
+            raise _RefusedError(413, "body over 64 KiB")
         body = self.rfile.read(length) if length else b""
         if len(body) < length:
             raise ConnectionError("body ended early")
@@ -147,9 +147,9 @@
             try:
                 size = int(self.rfile.readline(64).split(b";")[0], 16)
             except ValueError as bad:
-                raise _Refused(400, "bad chunk") from bad
+                raise _RefusedError(400, "bad chunk") from bad
             if size < 0 or len(out) + size > MAX_BODY:
-                raise _Refused(413, "body over 64 KiB")
+                raise _RefusedError(413, "body over 64 KiB")
             if size == 0:
                 while self.rfile.readline(MAX_LINE) not in (b"\r\n", b"\n", b""):
                     pass
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -6,7 +6,7 @@
 import pytest
 
 from bayford.storage.ledger import KEEP_ROWS, Ledger, RowMaker
-from bayford.storage.records import Unreadable
+from bayford.storage.records import UnreadableError
 
 
 class Writer:
@@ -131,9 +131,9 @@
         w.ledger.take(*w.append(3, 30))
     rows = [(slot, stamp, value) for slot, (stamp, value) in w.stored.items() if value["n"] >= w.ledger.tail]
     rows.sort(key=lambda row: row[2]["n"])
-    with pytest.raises(Unreadable):
+    with pytest.raises(UnreadableError):
         Ledger(4096).rebuild(rows[:-2] + rows[-1:])
-    with pytest.raises(Unreadable):
+    with pytest.raises(UnreadableError):
         Ledger(4096).rebuild([*rows, ("b/log/99", 5, {"n": "x"})])
 
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -29,7 +29,7 @@
     record = records.Record(spec, 5.0, 0.0, True, 2)
     assert records.decode(orjson.loads(orjson.dumps(records.encode(record)))) == record
     for bad in ({}, [1, 2], "x", {"pieces": 2, "text": "!!"}):
-        with pytest.raises(records.Unreadable):
+        with pytest.raises(records.UnreadableError):
             records.decode(bad)
 
 
@@ -43,13 +43,13 @@
     ],
 )  # fmt: skip
 def test_every_field_is_checked(change):
-    with pytest.raises(jobs.Invalid):
+    with pytest.raises(jobs.InvalidError):
         jobs.parse_submission(orjson.dumps(GOOD | change))
 
 
 @pytest.mark.parametrize("field", [k for k in GOOD if k not in ("builds", "yard", "due_s")])
 def test_a_missing_field_is_malformed(field):
-    with pytest.raises(jobs.Invalid):
+    with pytest.raises(jobs.InvalidError):
         jobs.parse_submission(orjson.dumps({k: v for k, v in GOOD.items() if k != field}))
 
 
@@ -57,14 +57,14 @@
     "body", [b"", b"[]", b"7", b"{", b'{"id":"a","id":"b"}', b"\xff", b'{"cpus":NaN}', b"[" * 100_000]
 )
 def test_what_is_no_object_is_malformed(body):
-    with pytest.raises(jobs.Invalid):
+    with pytest.raises(jobs.InvalidError):
         jobs.parse_submission(body)
 
 
 def test_non_finite_numbers_and_duplicates_are_malformed():
     text = orjson.dumps(GOOD).decode()
     for bad in ('"cpus":1e999', '"cpus":Infinity', '"cpus":1.0,"cpus":1.0'):
-        with pytest.raises(jobs.Invalid):
+        with pytest.raises(jobs.InvalidError):
             jobs.parse_submission(text.replace('"cpus":1.0', bad).encode())
 
 
@@ -183,7 +183,7 @@
     )
     report = workers.parse_report(body)
     assert mesh.unpack_report(orjson.loads(orjson.dumps(mesh.pack_report(report)))) == report
-    with pytest.raises(jobs.Invalid):
+    with pytest.raises(jobs.InvalidError):
         workers.parse_report(body.replace(b'"shift":2', b'"shift":"2"'))
 
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -6,9 +6,9 @@
 
 from bayford.coordination.controller import Controller
 from bayford.coordination.engine import Engine
-from bayford.protocol.cloud_api import NoCapacity
+from bayford.protocol.cloud_api import NoCapacityError
 from bayford.storage import records
-from bayford.storage.store import Unavailable
+from bayford.storage.store import UnavailableError
 
 
 def quiet(machines: int = 2, nodes: int = 1, **world_fields) -> World:
@@ -1002,7 +1002,7 @@
         w.submit("n0", w.job(number, parts=300))
 
     def refused(conditions, puts):
-        raise Unavailable("429", refused=True)
+        raise UnavailableError("429", refused=True)
 
     monkeypatch.setattr(node.store, "commit", refused)
     node.writes.drain()
@@ -1479,7 +1479,7 @@
 
     def no_spot(request, kind, zone, spot, count):
         if spot:
-            raise NoCapacity
+            raise NoCapacityError
         return rent(request, kind, zone, spot, count)
 
     monkeypatch.setattr(w, "rent", no_spot)
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -13,7 +13,7 @@
 from bayford.coordination.relay import reports_in
 from bayford.protocol import mesh, workers
 from bayford.storage import ledger, records, summary
-from bayford.storage.store import Row, TooLarge
+from bayford.storage.store import Row, TooLargeError
 
 # Each form as the version in production writes it, made once by that version.
 GOLDEN = json.loads((Path(__file__).parent / "fixtures" / "production.json").read_text())
@@ -359,7 +359,7 @@
 def test_too_large_is_told_from_an_outage():
     w = quiet()
     w.state.value_bytes = 10
-    with pytest.raises(TooLarge):
+    with pytest.raises(TooLargeError):
         w.nodes["n0"].store.commit({}, [summary.Put("b/x", "y" * 20)])
     assert w.nodes["n0"].limits.value_bytes == 8192, "only a commit of the owner's teaches"
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -17,11 +17,19 @@
 from bayford.coordination.controller import Controller
 from bayford.coordination.engine import Engine
 from bayford.protocol import jobs, mesh, workers
-from bayford.protocol.cloud_api import CloudBusy, Listed, NoCapacity
+from bayford.protocol.cloud_api import CloudBusyError, Listed, NoCapacityError
 from bayford.scheduling.model import MachineType
 from bayford.scheduling.policy import Policy
 from bayford.storage import records
-from bayford.storage.store import LeaseGone, Outcome, Put, Row, TooLarge, Unavailable, Unknown
+from bayford.storage.store import (
+    LeaseGoneError,
+    Outcome,
+    OutcomeUnknownError,
+    Put,
+    Row,
+    TooLargeError,
+    UnavailableError,
+)
 
 SETTINGS = """
 member = "{name}"
@@ -117,7 +125,7 @@
         for _, conditions, puts in ripe:
             try:
                 self.came_late += self.execute(conditions, puts).applied
-            except LeaseGone:
+            except LeaseGoneError:
                 pass
         for lease, (until, _) in list(self.leases.items()):
             if until <= self.clock.now and not self.down:
@@ -143,7 +151,7 @@
         self.expire()
         for put in puts:
             if put.lease is not None and put.lease not in self.leases:
-                raise LeaseGone
+                raise LeaseGoneError
         failed = [k for k, s in conditions.items() if self.rows.get(k, (None, 0, None))[1] != s]
         if failed:
             return Outcome(self.epoch, tuple(failed))
@@ -156,7 +164,7 @@
         for conditions, puts in held:
             try:
                 out.append(self.execute(conditions, puts))
-            except LeaseGone:
+            except LeaseGoneError:
                 pass
         return out
 
@@ -170,15 +178,15 @@
 
     def _check(self) -> None:
         if self.node in self.state.lost:
-            raise Unavailable("no connection")
+            raise UnavailableError("no connection")
         if self.state.down or self.node in self.state.refuses:
-            raise Unavailable("503", refused=True)
+            raise UnavailableError("503", refused=True)
         self.state.expire()
 
     def scan(self, prefix: str) -> tuple[list[Row], int]:
         self._check()
         if self.node in self.state.blind:
-            raise Unknown("no answer")
+            raise OutcomeUnknownError("no answer")
         rows = [Row(k, v, s) for k, (v, s, _) in sorted(self.state.rows.items()) if k.startswith(prefix)]
         return rows, self.state.epoch
 
@@ -188,25 +196,25 @@
             put.value is not None and len(orjson.dumps(put.value)) > self.state.value_bytes for put in puts
         ):
             self.state.refused += 1
-            raise TooLarge("400")
+            raise TooLargeError("400")
         if puts and self.node in self.state.hold:
             self.state.hold.discard(self.node)
             self.state.held.append((dict(conditions), list(puts)))
-            raise Unknown("no answer")
+            raise OutcomeUnknownError("no answer")
         if puts and self.node in self.state.lagging:
             at = self.state.clock.now + self.state.lagging[self.node]
             self.state.due.append((at, dict(conditions), list(puts)))
-            raise Unknown("no answer")
+            raise OutcomeUnknownError("no answer")
         outcome = self.state.execute(conditions, puts)
         if puts and self.node in self.state.lose_answer | self.state.unanswered:
             self.state.lose_answer.discard(self.node)
-            raise Unknown("answer lost")
+            raise OutcomeUnknownError("answer lost")
         return outcome
 
     def changes(self, prefix: str, since: int, wait_s: float) -> tuple[list[Row], int]:
         self._check()
         if self.node in self.state.blind:
-            raise Unknown("no answer")
+            raise OutcomeUnknownError("no answer")
         found = [r for r in self.state.log if r.stamp > since and r.key.startswith(prefix)]
         return found, self.state.epoch
 
@@ -219,7 +227,7 @@
     def renew(self, lease: int) -> None:
         self._check()
         if lease not in self.state.leases:
-            raise LeaseGone
+            raise LeaseGoneError
         ttl = self.state.leases[lease][1]
         self.state.leases[lease] = (self.state.clock.now + ttl, ttl)
 
@@ -423,7 +431,7 @@
                 if node.engine.owner:
                     node.commit_once()
                     node.verify_once()
-            except (Unavailable, Unknown, LeaseGone):
+            except (UnavailableError, OutcomeUnknownError, LeaseGoneError):
                 pass
             self.pass_time(min(seconds, 0.05))
 
@@ -468,7 +476,7 @@
     def try_(step: Callable[[], object]) -> bool:
         try:
             step()
-        except (Unavailable, Unknown, LeaseGone, CloudBusy):
+        except (UnavailableError, OutcomeUnknownError, LeaseGoneError, CloudBusyError):
             return False
         return True
 
@@ -733,12 +741,12 @@
 
     def rent(self, request: str, kind: str, zone: str, spot: bool, count: int) -> list[str]:
         if self.cloud_down:
-            raise CloudBusy("503")
+            raise CloudBusyError("503")
         if request in self.requests:
             return self.requests[request]
         count = min(count, self.capacity)
         if count <= 0:
-            raise NoCapacity
+            raise NoCapacityError
         self.capacity -= count
         names = [self.machine(kind, zone, spot).name for _ in range(count)]
         self.requests[request] = names
@@ -754,10 +762,10 @@
 
     def delete(self, names: list[str]) -> None:
         if self.cloud_down:
-            raise CloudBusy("503")
+            raise CloudBusyError("503")
         if self.deletes_lost:
             self.late_deletes.append(names)
-            raise CloudBusy("no answer")
+            raise CloudBusyError("no answer")
         self.execute_delete(names)
 
     def execute_delete(self, names: list[str]) -> None:
@@ -768,7 +776,7 @@
 
     def machines(self) -> list[Listed]:
         if self.cloud_down:
-            raise CloudBusy("503")
+            raise CloudBusyError("503")
         return [
             Listed(w.name, "10.0.0.9:9", w.kind.name, w.zone, w.spot, "running", 5.0)
             for w in self.workers.values()
