Run times are learned only from tasks that this owner has placed

Cause: a new owner counted tasks of the owner before it from the moment it first saw them; those that ended soon taught that a class runs for a second or two. Backlog, rentals, room that 'comes back by itself', order and victims all follow that figure. Change: no run time is learned from them, and they count as half through.

--- a/bayford/coordination/worker_reports.py
+++ b/bayford/coordination/worker_reports.py
@@ -135,7 +135,7 @@
             machine.images.setdefault(place.job.image, False)
         elif state.phase == workers.RUNNING:
             if place.running_since is None:
-                place.running_since = now
+                place.running_since = now - self._ran_before(place)
                 self._use_image(machine, place.job, there=True)
                 if place.job.standing and place.placed_at:
                     self._up(machine, place, now)
@@ -145,6 +145,12 @@
         elif state.phase == workers.ENDED:
             self._ended(machine, place, state, now)
 
+    def _ran_before(self, place: Placement) -> float:
+        """How long a task that is first seen running has run. For one that an owner before us has placed
+        nobody knows; half of what it is expected to, where from the takeover on it would seem to have hardly
+        begun, and be cheap to stop."""
+        return 0.0 if place.placed_here or place.job.standing else 0.5 * self.expected(place.job)
+
     def _up(self, machine: Machine, place: Placement, now: float) -> None:
         """Say how long a replica was away, and of what that was made up."""
         job = place.job
@@ -164,7 +170,9 @@
             self._use_image(machine, job, there=True)
             machine.good += 1
             machine.failed_jobs.clear()
-            if place.running_since is not None:
+            if place.running_since is not None and place.placed_here:
+                # Runs counted from a takeover taught that everything ends within seconds: the backlog seemed
+                # to be nothing, so too little was rented and nothing was stopped for urgent work.
                 self.estimates.ended(job.job_class, job.spec.estimate_s, now - place.running_since)
             if job.finished:
                 log.info("job %s done after %.1f s", job.spec.id, now - job.created)
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -100,7 +100,7 @@
     machine: int
     session: int
     part: str  # the task's name
-    placed_at: float = 0.0
+    placed_at: float = 0.0  # 0: by an owner before this one
     durable: bool = False  # committed: only then may its start go out
     started: bool = False  # the machine has been seen with it
     running_since: float | None = None
@@ -114,6 +114,11 @@
         """Task name and attempt."""
         return (self.part, self.attempt)
 
+    @property
+    def placed_here(self) -> bool:
+        """Whether this owner has placed it, and not one before."""
+        return self.placed_at > 0.0
+
 
 @dataclass(slots=True, eq=False)
 class Job:
--- /dev/null
+++ b/tests/test_takeover_estimates.py
@@ -0,0 +1,56 @@
+"""What a new owner makes of tasks that were running before it: it does not know since when."""
+
+from test_stories import quiet, running, wait
+from world import World
+
+from bayford.scheduling.preemption import lost_work
+
+GUESS_S = 40.0
+
+
+def takeover() -> tuple[World, str]:
+    """A cluster in which six tasks have run for 30 s when another controller takes over, and that one."""
+    cluster = quiet(machines=2, nodes=2)
+    cluster.submit("n0", cluster.job(1, crew="open", parts=6, guess_s=GUESS_S))
+    wait(cluster, 30.0, fleet=False)
+    assert len(running(cluster)) == 6
+    old = cluster.owner()
+    assert old is not None
+    del cluster.nodes[old]
+    wait(cluster, 8.0, fleet=False)
+    heir = cluster.owner()
+    assert heir not in (None, old)
+    assert len(running(cluster)) == 6
+    return cluster, heir
+
+
+def test_tasks_that_end_after_a_takeover_teach_no_run_times():
+    """They counted as runs of a few seconds, the class was expected to end at once, and after each takeover
+    the backlog seemed to be nothing, for renting, for stops and for the order of service."""
+    cluster, heir = takeover()
+    engine = cluster.nodes[heir].engine
+    for task in range(4):
+        cluster.finish(f"req-000001/{task}")
+    wait(cluster, 2.0, fleet=False)
+    job = engine.jobs["req-000001"]
+    assert len(job.done) == 4
+    assert engine.expected(job) == GUESS_S
+
+
+def test_what_the_new_owner_placed_itself_does_teach_them():
+    cluster, heir = takeover()
+    engine = cluster.nodes[heir].engine
+    cluster.submit(heir, cluster.job(2, crew="open", parts=2, guess_s=GUESS_S))
+    wait(cluster, 12.0, fleet=False)
+    for task in range(2):
+        cluster.finish(f"req-000002/{task}")
+    wait(cluster, 2.0, fleet=False)
+    assert engine.expected(engine.jobs["req-000001"]) < GUESS_S
+
+
+def test_stopping_an_inherited_task_loses_more_than_the_time_since_the_takeover():
+    cluster, heir = takeover()
+    engine = cluster.nodes[heir].engine
+    job = engine.jobs["req-000001"]
+    for place in job.open.values():
+        assert lost_work(job, place, cluster.clock.now, GUESS_S) >= 0.5 * GUESS_S
