coordination: preemptor and balancer are parts of their own, rental orders are typed

Orders to the cloud, its list and the queue of jobs went about as bare tuples.

Change: Preemptor and Balancer work on the owner's state under its lock; RentalOrder, Deletion, QueueEntry and pages of the cloud's list in place of tuples; clock.NEVER in place of -1e18. No change of behaviour: the list is read in the same calls at the same times.

--- a/bayford/coordination/autoscaler.py
+++ b/bayford/coordination/autoscaler.py
@@ -7,6 +7,7 @@
 
 from bayford.coordination.scheduling_round import SchedulingRound
 from bayford.coordination.worker_reports import RUNS_S
+from bayford.protocol.cloud_api import Listed
 from bayford.scheduling import fleet, placement
 from bayford.scheduling.model import (
     EPS,
@@ -18,48 +19,71 @@
 
 log = logging.getLogger("bayford.engine")
 
+UNCONFIRMED_CANCEL = "a cancelled task there is not confirmed stopped"
+
+
+@dataclass(frozen=True, slots=True)
+class RentalOrder:
+    """Machines to ask the cloud for, by the names that it knows."""
+
+    type: str
+    zone: str
+    spot: bool
+    count: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Deletion:
+    """A machine to give back, and why."""
+
+    machine: str
+    reason: str
+
 
 @dataclass(slots=True)
 class FleetStep:
     """What the cloud thread is to do now."""
 
-    rentals: list[tuple[str, str, bool, int, str]] = field(default_factory=list)  # type, zone, spot, count
-    deletions: list[tuple[str, str]] = field(default_factory=list)  # name, why
+    rentals: list[RentalOrder] = field(default_factory=list)
+    deletions: list[Deletion] = field(default_factory=list)
 
 
 class Autoscaler(SchedulingRound):
     """The fleet: what waits for machines, and which machines go back."""
 
-    def on_list(self, listed: Iterable[tuple[str, str, str, bool, str, float]], began: float) -> None:
-        """The cloud's list: name, type, zone, spot, phase, age. Lagging; what it lacks may be up already."""
+    def on_list(self, listed: Iterable[Listed], began: float) -> None:
+        """The cloud's list, asked for at `began`. Lagging; what it lacks may be up already."""
         with self.lock:
             if not self.owner:
                 return
             now = self.clock()
             self.listed_at = began
             names = set()
-            for name, kind, zone, spot, phase, age in listed:
-                names.add(name)
-                if name in self.gone:
-                    continue
-                fresh = self.machines_by.find(name) not in self.machines
-                machine = self._machine(name, now)
-                if fresh:
-                    log.info("machine %s: found in the list, %s", name, phase)
-                machine.rented = min(machine.rented, began - age)
-                machine.listed = True
-                machine.missing = 0
-                if machine.zone is None:
-                    machine.zone = self.zones.index(zone)
-                    machine.spot = spot
-                if machine.type is None:
-                    self._size(machine, kind)
-                if phase == "failed":
-                    machine.quarantined = machine.lost = True
+            for entry in listed:
+                names.add(entry.name)
+                if entry.name not in self.gone:
+                    self._take_listed(entry, began, now)
             for machine in self.machines.values():
                 if machine.listed and machine.name not in names:
                     machine.missing += 1
 
+    def _take_listed(self, entry: Listed, began: float, now: float) -> None:
+        fresh = self.machines_by.find(entry.name) not in self.machines
+        machine = self._machine(entry.name, now)
+        if fresh:
+            log.info("machine %s: found in the list, %s", entry.name, entry.phase)
+        machine.rented = min(machine.rented, began - entry.age_s)
+        machine.listed = True
+        machine.missing = 0
+        if machine.zone is None:
+            machine.zone = self.zones.index(entry.zone)
+            machine.spot = entry.spot
+        if machine.type is None:
+            self._size(machine, entry.type)
+        if entry.phase == "failed":
+            machine.quarantined = machine.lost = True
+
     def fleet_step(self, listening: float) -> FleetStep:
         """What to rent and what to delete now. Nobody counts as silent before `listening`: until then we
         stood still, or turned reports away."""
@@ -100,7 +124,8 @@
         ahead = sum(
             0.5 * self.expected(j) * j.spec.cpus * len(j.open) for j in self.jobs.values() if not j.standing
         )
-        for _, job, count in self._queue(now, turns=False):
+        for entry in self._queue(now, turns=False):
+            job, count = entry.job, entry.count
             if job.spec.cpus > 0:
                 count = int(min(count, (room[job.team] + EPS) / job.spec.cpus))
             room[job.team] -= count * job.spec.cpus
@@ -110,7 +135,7 @@
             if job.spec.one_zone or job.spec.spread:
                 # A machine in a zone that is closed to what still waits is rented in vain, and again and
                 # again.
-                open_ = placement.zones_open(job, self._zone)
+                open_ = placement.zones_open(job, self.zone_of)
                 options = frozenset(o for o in options if placement.zone_allowed(job, o.zone, open_))
             hosts = sum(present.get(o, 0.0) for o in options)
             cheap_hosts = sum(present.get(o, 0.0) for o in options if o.spot)
@@ -300,17 +325,20 @@
                 "renting %d %s in %s%s: %s (backlog %.0f s)", rental.count, kind, zone,
                 " (spot)" if option.spot else "", rental.why, busy,
             )  # fmt: skip
-            step.rentals.append((kind, zone, option.spot, rental.count, rental.why))
+            step.rentals.append(RentalOrder(kind, zone, option.spot, rental.count, rental.why))
 
-    def rented(self, kind: str, zone: str, spot: bool, asked: int, names: list[str], at: float) -> None:
+    def rented(self, order: RentalOrder, names: list[str], at: float) -> None:
         """A rental request was answered (`names` may be fewer than asked) or refused (none)."""
         with self.lock:
-            option = fleet.Option(self.types_by.index(kind), self.zones.index(zone), spot)
-            self._asked_for(option, -asked)
+            option = self._option(order)
+            self._asked_for(option, -order.count)
             now = self.clock()
-            if len(names) < asked:
+            if len(names) < order.count:
                 self.refused[option] = now + self.policy.refused_s
-                log.info("cloud gave %d of %d %s in %s (spot %s)", len(names), asked, kind, zone, spot)
+                log.info(
+                    "cloud gave %d of %d %s in %s (spot %s)",
+                    len(names), order.count, order.type, order.zone, order.spot,
+                )  # fmt: skip
             if not self.owner:
                 return
             for name in names:
@@ -319,13 +347,16 @@
                 machine = self._machine(name, now)
                 machine.rented = min(machine.rented, at)
                 machine.zone = option.zone
-                machine.spot = spot
-                self._size(machine, kind)
+                machine.spot = option.spot
+                self._size(machine, order.type)
 
-    def not_rented(self, kind: str, zone: str, spot: bool, asked: int) -> None:
+    def not_rented(self, order: RentalOrder) -> None:
         """The request was not sent after all; the cloud has refused nothing."""
         with self.lock:
-            self._asked_for(fleet.Option(self.types_by.index(kind), self.zones.index(zone), spot), -asked)
+            self._asked_for(self._option(order), -order.count)
+
+    def _option(self, order: RentalOrder) -> fleet.Option:
+        return fleet.Option(self.types_by.index(order.type), self.zones.index(order.zone), order.spot)
 
     def _asked_for(self, option: fleet.Option, count: int) -> None:
         self.renting[option] = max(0, self.renting.get(option, 0) + count)
@@ -358,7 +389,7 @@
             quiet = now - max(machine.heard, listening)
             why = ""
             if machine.index in urgent_cancel:
-                why = "a cancelled task there is not confirmed stopped"
+                why = UNCONFIRMED_CANCEL
             elif machine.reported or machine.open:
                 if machine.missing >= 2 and quiet > facts.report_s * 1.5:
                     why = "gone from the cloud's list"
@@ -379,7 +410,7 @@
                     why = "never came up"
             if why:
                 machine.deleting = True
-                step.deletions.append((machine.name, why))
+                step.deletions.append(Deletion(machine.name, why))
                 log.info("deleting machine %s: %s, %d tasks there", machine.name, why, len(machine.open))
 
     def overdue(self) -> set[str]:
@@ -412,7 +443,7 @@
             for machine in self._overdue():
                 if not machine.deleting:
                     machine.deleting = True
-                    step.deletions.append((machine.name, "a cancelled task there is not confirmed stopped"))
+                    step.deletions.append(Deletion(machine.name, UNCONFIRMED_CANCEL))
                     log.info(
                         "deleting machine %s unverified: a cancelled task runs out of time", machine.name
                     )
--- /dev/null
+++ b/bayford/coordination/balancer.py
@@ -0,0 +1,145 @@
+"""Moves of running tasks that free the room which a waiting task needs (docs/design.md).
+
+The trials are those of `scheduling.tempered`; this shows them the fleet and carries the best plan out.
+"""
+
+import logging
+
+from bayford.coordination.owner_state import ROOM_KEPT_S, Key, OwnerState
+from bayford.protocol import workers
+from bayford.scheduling import placement, tempered
+from bayford.scheduling.model import EPS, GANG, SERVICE, Job, Machine
+
+log = logging.getLogger("bayford.engine")
+
+
+class Balancer:
+    """The paper's balancer. Called under the lock of the owner's state."""
+
+    def __init__(self, state: OwnerState) -> None:
+        self._state = state
+
+    def free_room(self, queue: list[Job], now: float) -> None:
+        """The paper's balancer: move running tasks off a machine to free the room that a waiting task
+        needs there, when it fits on no machine. Moves are stops with a hint where to go on."""
+        state = self._state
+        if state.halting:
+            return  # room is being made as it is
+        waiting = [
+            job
+            for job in queue
+            if job.waiting
+            and job.spec.shape != GANG
+            and job.not_before <= now
+            and state.shares[job.team].allows(job.spec)
+        ]
+        if not waiting:
+            return
+        # Room that is being made for a job, or that a worker just refused, is not there for others.
+        usable = [
+            m
+            for m in state.machines.values()
+            if m.usable and not m.relay and m.kept_until <= now and m.full_until <= now
+        ]
+        state.balance_asked += 1
+        free = sum(m.free_cpus for m in usable)
+        running = sum(len(m.open) for m in state.machines.values())
+        left = tempered.budget(running, state.policy.balance_share)
+        hosts: dict[int, tempered.Host] = {}
+        for job in waiting[: state.policy.balance_jobs]:
+            if free + EPS < job.spec.cpus:
+                continue  # a move shifts room and makes none: so much is not left in the whole fleet
+            hosts = hosts or {m.index: self._host(m) for m in usable}
+            plan = self._plan(job, left, usable, hosts, now)
+            if plan is None:
+                continue
+            # Else the task moved away may be first in the queue and come straight back.
+            source = state.machines[plan.source]
+            saving = max(source.open[m.key].job.spec.save_s for m in plan.moves)
+            source.kept_for, source.kept_until = job.spec.id, now + ROOM_KEPT_S + saving
+            for move in plan.moves:
+                place = state.machines[plan.source].open[move.key]
+                place.job.hints[place.task] = move.target
+                state.halt(place, place.job.spec.save_s * 1.5)
+            state.moves += len(plan.moves)
+            log.info(
+                "job %s fits nowhere: moving %s off %s (imbalance then %.2f)", job.spec.id,
+                [m.key[0] for m in plan.moves], state.machines_by[plan.source], plan.imbalance,
+            )  # fmt: skip
+            return  # the picture has changed
+
+    def _plan(
+        self, job: Job, moves: int, usable: list[Machine], hosts: dict[int, tempered.Host], now: float
+    ) -> tempered.Plan | None:
+        state = self._state
+        spec = job.spec
+        counts = placement.zones_open(job, state.zone_of)
+        allowed = placement.candidates(job, usable, counts, now)
+        if any(m.has_room(spec) for m in allowed):
+            return None  # it fits as it is and is about to be placed
+        state.balance_tried += 1
+        need = (spec.cpus, spec.gpus, spec.mem_gb)
+        sources = []
+        for machine in allowed:
+            host = hosts[machine.index]
+            room = host.free
+            for item in host.items:
+                room = tempered.add(room, item.need)
+            if host.items and tempered.fits(need, room):
+                sources.append((spec.cpus - machine.free_cpus, machine.index))
+        best: tempered.Plan | None = None
+        counts_ = tempered.Counts(state.policy.balance_trials, state.policy.balance_iterations, moves)
+
+        def allowed_(key: Key, target: int) -> bool:
+            # A service is not interrupted for work that may wait: only for another of its rank or above.
+            moved = state.jobs[(workers.split_task(key[0]) or ("", 0))[0]]
+            return (not moved.standing or spec.priority >= moved.spec.priority) and self._may_move(
+                key, target
+            )
+
+        for _, index in sorted(sources)[: state.policy.balance_sources]:
+            plan = tempered.free_room(list(hosts.values()), index, need, counts_, allowed_, state.rng)
+            if plan is not None and (best is None or plan.imbalance < best.imbalance):
+                best = plan
+        return best
+
+    def _host(self, machine: Machine) -> tempered.Host:
+        items = []
+        for place in machine.open.values():
+            spec = place.job.spec
+            movable = spec.shape == SERVICE or (spec.checkpoint_s > 0 and spec.shape != GANG)
+            if movable and place.running_since is not None and not place.halting:
+                items.append(tempered.Item(place.key, (spec.cpus, spec.gpus, spec.mem_gb)))
+        free = (machine.free_cpus, machine.free_gpus, machine.free_mem)
+        return tempered.Host(machine.index, machine.cpus, free, items)
+
+    def _may_move(self, key: Key, target: int) -> bool:
+        """Whether the task's job allows the target, the task itself gone from where it is."""
+        state = self._state
+        job_id, task = workers.split_task(key[0]) or ("", 0)
+        job, machine = state.jobs[job_id], state.machines[target]
+        here = state.zone_of(job.open[task].machine)
+        counts = placement.zones_open(job, state.zone_of)
+        if here is not None:
+            counts[here] -= 1
+            if not counts[here]:
+                del counts[here]
+        if job.standing and not self._may_move_replica(job, machine):
+            return False
+        return (
+            machine.zone is not None
+            and machine.index not in job.failed_on
+            and placement.type_allowed(job, machine)
+            and placement.zone_allowed(job, machine.zone, counts)
+        )
+
+    def _may_move_replica(self, job: Job, machine: Machine) -> bool:
+        """A move is a gap in the service: to a machine that has the image and no replica, one of a job at a
+        time, and only while all its others run."""
+        return (
+            bool(machine.images.get(job.image))
+            and not job.waiting
+            and not job.resting
+            and not any(place.job is job for place in machine.open.values())
+            and not any(p.halting or p.running_since is None for p in job.open.values())
+        )
--- a/bayford/coordination/cloud_calls.py
+++ b/bayford/coordination/cloud_calls.py
@@ -10,10 +10,10 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from bayford.coordination.autoscaler import FleetStep
+from bayford.coordination.autoscaler import FleetStep, RentalOrder
 from bayford.coordination.budget import Budget
 from bayford.coordination.engine import Engine
-from bayford.protocol.cloud_api import Cloud, CloudBusyError, NoCapacityError
+from bayford.protocol.cloud_api import Cloud, CloudBusyError, Listed, NoCapacityError
 
 log = logging.getLogger("bayford.cloud")
 
@@ -66,15 +66,15 @@
         self._clock = clock
         self._pause = pause
         self._on_change = on_change
-        self._rentals: queue.Queue[tuple[str, str, bool, int, str]] = queue.Queue(RENTAL_QUEUE)
+        self._rentals: queue.Queue[RentalOrder] = queue.Queue(RENTAL_QUEUE)
         self._deletions: queue.Queue[str] = queue.Queue()  # each machine is in it once at the most
 
     def carry_out(self, step: FleetStep) -> None:
         """Queue what the engine has decided."""
-        for rental in step.rentals:
-            self._rentals.put(rental)
-        for name, _ in step.deletions:
-            self._deletions.put(name)
+        for order in step.rentals:
+            self._rentals.put(order)
+        for deletion in step.deletions:
+            self._deletions.put(deletion.machine)
 
     def pace(self) -> None:
         """Wait for a place under the cloud's limit of requests."""
@@ -85,13 +85,18 @@
         self._rate.take(1.0)
 
     def list_step(self) -> float:
-        """Read the list of machines."""
-        if self._engine.owner:
-            self.pace()
-            began = self._clock()
-            listed = self._cloud.machines()
-            rows = [(m.name, m.type, m.zone, m.spot, m.phase, m.age_s) for m in listed]
-            self._engine.on_list(rows, began)
+        """Read the list of machines, page by page."""
+        if not self._engine.owner:
+            return LIST_PERIOD_S
+        self.pace()
+        began = self._clock()
+        listed: list[Listed] = []
+        more = True
+        while more:
+            page = self._cloud.machines(listed[-1].name if listed else "")
+            listed += page.machines
+            more = page.more and bool(page.machines)
+        self._engine.on_list(listed, began)
         return LIST_PERIOD_S
 
     def catalog_step(self) -> float:
@@ -106,23 +111,23 @@
 
     def rent_step(self) -> float:
         """Carry out the next rental."""
-        self.rent(*self._rentals.get())
+        self.rent(self._rentals.get())
         return AFTER_CALL_S
 
-    def rent(self, kind: str, zone: str, spot: bool, count: int, why: str) -> None:
+    def rent(self, order: RentalOrder) -> None:
         """Rent under a name that no request, of whatever process, has had before."""
         self._requests += 1
         request = f"{self._request_prefix}-{self._requests}"
-        asked = min(count, MOST_PER_RENTAL)
+        count = min(order.count, MOST_PER_RENTAL)
         at = self._clock()
         names: list[str] = []
         for attempt in range(RENTAL_ATTEMPTS):
             self.pace()
             if not self._ownership.sure_owner():
-                self._engine.not_rented(kind, zone, spot, count)
+                self._engine.not_rented(order)
                 return
             try:
-                names = self._cloud.rent(request, kind, zone, spot, asked)
+                names = self._cloud.rent(request, order.type, order.zone, order.spot, count)
                 break
             except NoCapacityError:
                 break
@@ -130,8 +135,8 @@
                 # The same request may be repeated: if it was carried out, the answer is the same.
                 log.info("rental %s: %s", request, bad)
                 self._pause(threading.Event(), 0.5 * 2**attempt)
-        log.debug("rental %s (%s): %s", request, why, names)
-        self._engine.rented(kind, zone, spot, count, names, at)
+        log.debug("rental %s (%s): %s", request, order.reason, names)
+        self._engine.rented(order, names, at)
 
     def delete_step(self) -> float:
         """Carry out the next deletions, many in a request."""
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 
+from bayford.clock import NEVER
 from bayford.config import Settings
 from bayford.coordination import handover
 from bayford.coordination import relay as relaying
@@ -125,7 +126,7 @@
         self._succeeded = self._born
         self._handover_tried = self._born
         self._listening = self._born  # since when workers' reports have been taken without a break
-        self._peer_heard = -1e18
+        self._peer_heard = NEVER
         self._peers_served: dict[str, float] = {}  # when each last said that the state service serves it
         self._zones = zones
         engine.with_ledger = self.mirror.with_ledger
--- a/bayford/coordination/membership.py
+++ b/bayford/coordination/membership.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from bayford.clock import NEVER
 from bayford.coordination.limits import Limits
 from bayford.storage import records
 from bayford.storage.mirror import Mirror
@@ -87,9 +88,9 @@
         self._teams = teams
         self._clock = clock
         self._lease: int | None = None
-        self._renewed = -1e18
-        self.renewed = -1e18  # when the state service last did what we asked for the lease
-        self.answered = -1e18  # when it last said anything, a refusal too
+        self._renewed = NEVER
+        self.renewed = NEVER  # when the state service last did what we asked for the lease
+        self.answered = NEVER  # when it last said anything, a refusal too
         self._orphan_since: float | None = None
         self._lock = threading.Lock()
         self._view = View()
@@ -201,7 +202,7 @@
                 self._mirror.apply([Row(key, self.incarnation, outcome.revision)])
             else:
                 self._mirror.pull(0.0)
-                self._renewed = -1e18  # again at once
+                self._renewed = NEVER  # again at once
         except LeaseGoneError:
             self._lease = None
         except UnavailableError as bad:
--- a/bayford/coordination/owner_state.py
+++ b/bayford/coordination/owner_state.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
+from bayford.clock import NEVER
 from bayford.config import Settings
 from bayford.coordination import estimate
 from bayford.coordination.limits import Limits
@@ -37,6 +38,7 @@
 log = logging.getLogger("bayford.engine")
 
 Key = tuple[str, int]  # task name, attempt
+ROOM_KEPT_S = 4.0  # how long room that was made for a job is kept for it
 TRANSACTION_BYTES = 48 * 1024  # of the 64 KiB that the state service takes, rows and records beside them
 
 
@@ -128,11 +130,11 @@
         # We were owner, and every cancellation till then was known here: the sending of the last read that
         # showed the map that made us owner. A comparison of the map alone, or a write of our own, shows no
         # cancellation that another controller has confirmed.
-        self.verified_at = -1e18
-        self.last_report = -1e18
+        self.verified_at = NEVER
+        self.last_report = NEVER
         self.owner_since = 0.0
         self.inherited = False  # machines or work of an owner before us
-        self.listed_at = -1e18  # when the cloud's last list was asked for
+        self.listed_at = NEVER  # when the cloud's last list was asked for
         self.late_picture: dict[str, list[str]] = {}
         self.renting: dict[fleet.Option, int] = {}
         self.urgent_jobs: list[tuple[float, float]] = []  # when accepted, CPUs
@@ -140,12 +142,12 @@
         self.standing: set[int] = set()  # ordinary machines that are kept for services
         self.refusals = 0
         self.starts = 0
-        self.balanced_at = -1e18
+        self.balanced_at = NEVER
         self.balance_asked = 0  # rounds in which work waited although its team has room
         self.balance_tried = 0  # jobs in them for which moves were looked for
-        self.preempt_at = -1e18
+        self.preempt_at = NEVER
         self.image_gb: dict[int, float] = {}
-        self.images_at = -1e18
+        self.images_at = NEVER
         self.local_images: frozenset[int] = frozenset()
         self.moves = 0
         self.dear_serves = True
@@ -157,7 +159,7 @@
         late_picture: dict[str, list[str]] | None = None,
         term: int = 0,
         token: int = 0,
-        as_of: float = -1e18,
+        as_of: float = NEVER,
     ) -> None:
         """Become owner: rebuild everything from the records. Nothing is placed before this is complete.
 
@@ -226,7 +228,7 @@
             place.durable = True
             self._book(job, machine, place)
             if job.cancelled:  # the cancellation outlives the owner that saw it
-                self._halt(place, 0.0)
+                self.halt(place, 0.0)
         if not job.cancelled:
             job.waiting = [
                 t for t in range(spec.tasks - 1, -1, -1) if t not in job.done and t not in job.open
@@ -293,10 +295,17 @@
         self._note_room(machine)
         self.shares[job.team].take(job.spec)
 
-    def _zone(self, machine: int) -> int | None:
+    def zone_of(self, machine: int) -> int | None:
+        """Where a machine stands, None if that is not known yet."""
         found = self.machines.get(machine)
         return None if found is None else found.zone
 
+    def fetch_s(self, job: Job, machine: Machine) -> float:
+        """How long the machine fetches the job's image, if it has the whole rate for it."""
+        if machine.type is None:
+            return 0.0
+        return job.spec.image_gb / max(self.types[machine.type].fetch_gb_per_s, 0.01)
+
     def expected(self, job: Job) -> float:
         """Expected run time of one task, corrected by what has been seen of the class."""
         if job.spec.shape == SERVICE:
@@ -455,10 +464,10 @@
         job.resting.clear()
         log.info("job %s cancelled, %d tasks to stop", job.spec.id, len(job.open))
         for place in job.open.values():
-            self._halt(place, 0.0)
+            self.halt(place, 0.0)
         self._settle_job(job)
 
-    def _halt(self, place: Placement, grace_s: float) -> None:
+    def halt(self, place: Placement, grace_s: float) -> None:
         """Stop a task, by a direct command if its machine can be reached."""
         place.halting, place.halt_grace = True, grace_s
         self.halting[place] = None
--- /dev/null
+++ b/bayford/coordination/preemptor.py
@@ -0,0 +1,179 @@
+"""Stops that make room for waiting work, on the machines and under the limits of the teams.
+
+Whom PROTOCOL lets be stopped, and what that loses, is decided in `scheduling.preemption`.
+"""
+
+import dataclasses
+import logging
+
+from bayford.coordination.owner_state import ROOM_KEPT_S, OwnerState
+from bayford.scheduling import placement, preemption
+from bayford.scheduling.model import EPS, URGENT, Job, Machine
+from bayford.scheduling.quota import Share
+
+log = logging.getLogger("bayford.engine")
+
+SEARCH_PERIOD_S = 0.25  # victims are looked for on all machines, so not in every round
+JOBS_PER_SEARCH = 4  # jobs that room is made for at a time
+
+
+class Preemptor:
+    """Stops running tasks for waiting ones. Called under the lock of the owner's state."""
+
+    def __init__(self, state: OwnerState) -> None:
+        self._state = state
+
+    def make_room(self, queue: list[Job], now: float) -> None:
+        """Stop the cheapest tasks for waiting work that PROTOCOL lets push them out."""
+        state = self._state
+        if now < state.preempt_at:
+            return
+        wanting = self._wanting(queue, now)
+        if not wanting:
+            return
+        state.preempt_at = now + SEARCH_PERIOD_S
+        budget = state.policy.preempt_per_round
+        after = [dataclasses.replace(share) for share in state.shares]  # once the stops are through
+        busy = set()
+        for place in state.halting:
+            after[place.job.team].give(place.job.spec)
+            busy.add(place.machine)
+        # What tasks give back by themselves in a moment needs no stops.
+        given = state.policy.preempt_wait_s * self._turnover()
+        machines = [m for m in state.machines.values() if not m.relay and m.index not in busy]
+        for job, need, owed in wanting:
+            if now - job.created < 2.0 * state.policy.preempt_wait_s and not job.standing:
+                soon = min(need, int(given / max(job.spec.cpus, 0.1)))
+                given -= soon * job.spec.cpus
+                need -= soon
+            if need <= 0:
+                continue
+            for found in self._find_victims(job, machines, now, after, owed > 0):
+                if need <= 0 or budget <= 0:
+                    break
+                if any(v.place.halting for v in found):
+                    continue  # the machine has been taken for a job before this one
+                if not all(preemption.may_stop(job, v.job, after, owed > 0) for v in found):
+                    continue
+                # Else smaller tasks would take what is free there already, and the stop was for nothing.
+                machine = state.machines[found[0].place.machine]
+                machine.kept_for, machine.kept_until = job.spec.id, now + ROOM_KEPT_S
+                owed -= 1
+                need -= 1
+                for victim in found:
+                    victim.job.note_stop(victim.place.task)
+                    after[victim.job.team].give(victim.job.spec)
+                    saves = victim.job.spec.checkpoint_s > 0
+                    state.halt(victim.place, victim.job.spec.save_s * 1.5 if saves else 0.0)
+                    budget -= 1
+                log.info("job %s waits: stopping %s", job.spec.id, [v.place.part for v in found])
+
+    def _turnover(self) -> float:
+        """CPUs that running tasks give back in a second, as long as they are expected to last."""
+        state = self._state
+        return sum(
+            len(job.open) * job.spec.cpus / max(1.0, state.expected(job))
+            for job in state.jobs.values()
+            if not job.standing
+        )
+
+    def make_room_under_limits(self, now: float) -> None:
+        """Have services run that their team's limit keeps from it while the team runs work of lower
+        priority."""
+        state = self._state
+        for job in state.jobs.values():
+            if job.standing and job.waiting and not job.cancelled and job.not_before <= now:
+                lacking = len(job.waiting) - state.shares[job.team].room(job.spec)
+                if lacking > 0:
+                    self._stop_own_work_for(job, lacking, now)
+
+    def _stop_own_work_for(self, job: Job, need: int, now: float) -> None:
+        """Stop work of the same team and of lower priority until `need` replicas fit under the team's limit:
+        first what runs where a replica may go, of that what loses least. What stops already counts."""
+        state = self._state
+        spec = job.spec
+        cpus, gpus = need * spec.cpus, need * spec.gpus
+        victims = []
+        for other in state.jobs.values():
+            if other.team != job.team or other.spec.priority >= spec.priority or other.standing:
+                continue
+            for place in other.open.values():
+                if place.halting:
+                    cpus, gpus = cpus - other.spec.cpus, gpus - other.spec.gpus
+                    continue
+                machine = state.machines[place.machine]
+                loss = preemption.lost_work(other, place, now, state.expected(other))
+                there = placement.type_allowed(job, machine) and machine.usable
+                victims.append((not there, other.spec.priority, loss, place.key, place))
+        stops = 0
+        for *_, place in sorted(victims, key=lambda v: v[:4]):
+            if stops >= state.policy.preempt_per_round or (cpus <= EPS and gpus <= EPS):
+                break
+            gives = place.job.spec
+            if (cpus > EPS and gives.cpus > 0) or (gpus > EPS and gives.gpus > 0):
+                cpus, gpus = cpus - gives.cpus, gpus - gives.gpus
+                state.halt(place, gives.save_s * 1.5 if gives.checkpoint_s > 0 else 0.0)
+                stops += 1
+        if stops:
+            log.info("job %s waits for its team's limit: stopping %d tasks of the team", spec.id, stops)
+
+    def _wanting(self, queue: list[Job], now: float) -> list[tuple[Job, int, int]]:
+        """Whose waiting work may push others out, how many tasks of it, and how many that is owed."""
+        state = self._state
+        kept: dict[str, int] = {}
+        for machine in state.machines.values():
+            if machine.kept_until > now:
+                kept[machine.kept_for] = kept.get(machine.kept_for, 0) + 1
+        out = []
+        for job in queue:
+            if not job.waiting or job.not_before > now:
+                continue
+            share = state.shares[job.team]
+            need = min(len(job.waiting), share.room(job.spec))
+            owed = 0
+            if job.standing or now - job.created > state.policy.guarantee_wait_s:
+                owed = share.owed(job.spec)
+            if job.spec.priority < URGENT:
+                # Room is taken back for the guarantee alone, not for what would be borrowed on top.
+                need = min(need, owed)
+            need -= kept.get(job.spec.id, 0)
+            if need > 0:
+                out.append((job, need, owed))
+        return out[:JOBS_PER_SEARCH]
+
+    def _find_victims(
+        self, waiting: Job, machines: list[Machine], now: float, after: list[Share], owed: bool
+    ) -> list[list[preemption.Victim]]:
+        """The stops that would make room for one task, machine by machine, the cheapest first."""
+        state = self._state
+        counts = placement.zones_open(waiting, state.zone_of)
+        quiet = state.policy.standing_quiet * state.settings.facts.workers.report_s
+        out: list[tuple[float, int, list[preemption.Victim]]] = []
+        for machine in placement.candidates(waiting, machines, counts, now):
+            if waiting.standing and not placement.steady(machine, now, quiet):
+                continue
+            found = []
+            for place in machine.open.values():
+                job = place.job
+                if not place.on_turn and preemption.may_stop(waiting, job, after, owed):
+                    expected = state.expected(job)
+                    ran = 0.0 if place.running_since is None else now - place.running_since
+                    if waiting.spec.priority < URGENT and expected - ran < state.policy.guarantee_wait_s / 2:
+                        continue  # it gives the room back by itself soon; stopping it wastes its work
+                    loss = preemption.lost_work(job, place, now, expected)
+                    loss += preemption.delay_cost(job, place, now, expected, state.due_s(job))
+                    found.append(preemption.Victim(job, place, loss))
+            got = preemption.victims_on(machine, waiting, found, 4) if found else None
+            if got is None:
+                continue
+            cost = got[1]
+            if not machine.images.get(waiting.image) and machine.type is not None:
+                # The waiting task would first fetch its image there.
+                cost += state.fetch_s(waiting, machine) * waiting.spec.cpus * state.policy.fetch_weight
+            if waiting.standing:
+                # A loss should take few replicas of a job.
+                here = sum(place.job is waiting for place in machine.open.values())
+                cost += state.policy.spread_s * here * waiting.spec.cpus * state.policy.fetch_weight
+            out.append((cost, machine.index, got[0]))
+        out.sort(key=lambda entry: entry[:2])
+        return [found for _, _, found in out]
--- a/bayford/coordination/relay.py
+++ b/bayford/coordination/relay.py
@@ -10,6 +10,7 @@
 import threading
 from collections.abc import Callable, Iterable
 
+from bayford.clock import NEVER
 from bayford.coordination.limits import Limits
 from bayford.protocol import mesh, workers
 from bayford.storage import records
@@ -49,7 +50,7 @@
         self._until: dict[str, float] = {}
         self._reports: dict[str, tuple[float, workers.Report]] = {}
         self._changed = False
-        self._published = -1e18
+        self._published = NEVER
         self._keys = 0
         self._known_cancelled: set[str] = set()
 
@@ -76,7 +77,7 @@
         """
         now = self._clock()
         with self._lock:
-            until = self._until.get(machine, -1e18)
+            until = self._until.get(machine, NEVER)
             if until > now:
                 return True
             sent = self._sent_away.pop(machine, None)
--- a/bayford/coordination/worker_reports.py
+++ b/bayford/coordination/worker_reports.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from bayford.clock import NEVER
 from bayford.coordination.handover import WorkerContact
 from bayford.coordination.owner_state import Key, OwnerState
 from bayford.protocol import workers
@@ -21,7 +22,7 @@
     """Reports in, orders out."""
 
     def on_report(
-        self, report: workers.Report, after: float = -1e18, relay: str = "", asked: bool = False
+        self, report: workers.Report, after: float = NEVER, relay: str = "", asked: bool = False
     ) -> int | None:
         """Take a report in; its machine's index, or None if a newer one was here before.
 
@@ -188,7 +189,7 @@
             # One task down, the gang is down: stop the others, so that all can come together again.
             for other in job.open.values():
                 if not other.halting:
-                    self._halt(other, job.spec.save_s * 1.5)
+                    self.halt(other, job.spec.save_s * 1.5)
         if state.why in (workers.HALTED, workers.PEERS, workers.ALONE):
             return
         if state.why == workers.DONE:
--- a/bayford/protocol/cloud_api.py
+++ b/bayford/protocol/cloud_api.py
@@ -8,6 +8,8 @@
 
 from bayford.scheduling.model import MachineType
 
+LIST_PAGE = 500  # the most machines that the cloud puts into one answer
+
 Caller = Callable[[str, str, bytes | None, float], tuple[int, bytes]]
 
 
@@ -48,8 +50,10 @@
     builds: list[_Build]
 
 
-class _Page(msgspec.Struct):
-    docks: list[Listed]
+class MachinePage(msgspec.Struct):
+    """A part of the cloud's list, in the order of the names; `more` follow."""
+
+    machines: list[Listed] = msgspec.field(name="docks")
     more: bool = False
 
 
@@ -69,8 +73,8 @@
     def delete(self, names: list[str]) -> None:
         """Delete machines; when this returns they are gone."""
 
-    def machines(self) -> list[Listed]:
-        """The cloud's lagging list."""
+    def machines(self, since: str) -> MachinePage:
+        """One page of the cloud's lagging list: the machines after `since`, all if that is empty."""
 
 
 class CloudApi:
@@ -121,12 +125,7 @@
         for at in range(0, len(names), 100):
             self._ask("POST", "/hosts/delete", {"docks": names[at : at + 100]})
 
-    def machines(self) -> list[Listed]:
-        """All pages of the list."""
-        out: list[Listed] = []
-        while True:
-            since = out[-1].name if out else ""
-            page = msgspec.json.decode(self._ask("GET", f"/hosts?since={since}&limit=500"), type=_Page)
-            out += page.docks
-            if not page.more or not page.docks:
-                return out
+    def machines(self, since: str) -> MachinePage:
+        """One page of the list."""
+        path = f"/hosts?since={since}&limit={LIST_PAGE}"
+        return msgspec.json.decode(self._ask("GET", path), type=MachinePage)
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from bayford.clock import NEVER
+
 PRIORITIES = ("idle", "normal", "urgent", "critical")
 ARRAY, GANG, SERVICE = "array", "gang", "service"
 SERVICE_RUN_S = 600.0  # how long a replica is expected to go on, where a guess is needed: it has no end
@@ -139,7 +141,7 @@
     cancelled_at: float = 0.0
     cancel_known: float = 0.0  # when this controller learned of it
     stamp: int = 0  # of its record
-    placed_at: float = -1e18  # when a task of it was last put on a machine
+    placed_at: float = NEVER  # when a task of it was last put on a machine
     not_before: float = 0.0
     errors: int = 0
     held_back: int = 0  # how often it was held back because it failed everywhere
@@ -205,7 +207,7 @@
     echoed: bool = False  # it has said our token back, so it was there since we command
     ordered: list[tuple[str, int, str]] = field(default_factory=list)  # the last answer: task, attempt, verb
     unheeded: int = 0  # answers in a row of which nothing showed afterwards
-    answered: float = -1e18  # when the last answer left
+    answered: float = NEVER  # when the last answer left
     lapses: int = 0  # sessions that ended although it was answered, nothing heeded since
     relay: str = ""  # the controller that hears it, if not this one
     rented: float = 0.0
@@ -216,7 +218,7 @@
     lost: bool = False  # it does not hear us, or has stopped: what runs there, if anything does, is no use
     deleting: bool = False
     failed_jobs: dict[str, int] = field(default_factory=dict)
-    failed_at: float = -1e18
+    failed_at: float = NEVER
     good: int = 0
     idle_since: float = 0.0
     # image -> fetched (False: on its way), the one used last at the end
--- a/bayford/storage/mirror.py
+++ b/bayford/storage/mirror.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 from typing import TypeVar
 
+from bayford.clock import NEVER
 from bayford.storage import records
 from bayford.storage.ledger import Ledger, Progress
 from bayford.storage.records import JOBS, LAYOUT, LOG, UnreadableError
@@ -57,7 +58,7 @@
         self.revision = -1  # -1: never loaded
         # As of which moment the mirror is complete: the sending of the last read that was taken in. All that
         # was committed before then, by whomever, is here and has been told to the listener.
-        self.as_of = -1e18
+        self.as_of = NEVER
         self._listener = listener
         self._want = threading.Condition()
         self._asked = 0
--- a/bayford/transport/server.py
+++ b/bayford/transport/server.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from http.server import BaseHTTPRequestHandler
 
+from bayford.clock import NEVER
+
 log = logging.getLogger("bayford.server")
 
 IDLE_S = 40.0  # a connection of which nothing else is known
@@ -68,7 +70,7 @@
     def handle(self) -> None:
         """Serve requests until either side is done."""
         self.close_connection = False
-        after = -1e18
+        after = NEVER
         idle_s = IDLE_S
         try:
             while not self.close_connection:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -5,6 +5,7 @@
 from test_stories import quiet, running, wait
 from world import Worker, World
 
+from bayford.clock import NEVER
 from bayford.coordination.handover import WorkerContact, successor
 from bayford.storage import records
 from bayford.storage.store import Put
@@ -97,7 +98,7 @@
     cluster, owner = busy_cluster(parts=4)
     worker = next(iter(cluster.workers.values()))
     late_report = worker.report()
-    late_answer = cluster.nodes[owner].report(late_report, -1e18)
+    late_answer = cluster.nodes[owner].report(late_report, NEVER)
     assert late_answer[0] == 200
     cut_off(cluster, owner)
     old = cluster.nodes[owner]
@@ -108,7 +109,7 @@
     wait(cluster, 10.0, fleet=False)
     assert worker.token > orjson.loads(late_answer[1])["baton"]
     assert worker.take(late_answer, cluster.clock.now, worker.session) == 0, "its token is surpassed"
-    status, _ = old.report(late_report, -1e18)
+    status, _ = old.report(late_report, NEVER)
     assert status in (421, 503), "a report that comes late is not the old owner's to answer"
     outcome = old.store.commit({records.MAP: old.membership.view.stamp - 1}, [Put("b/probe", 1)])
     assert not outcome.applied, "a write of the term before names a map that is gone"
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -11,6 +11,7 @@
 from world import SETTINGS, World
 
 from bayford import cli, config, script
+from bayford.clock import NEVER
 from bayford.coordination.membership import lonely
 from bayford.protocol import jobs, mesh, workers
 from bayford.scheduling import fleet
@@ -266,7 +267,7 @@
             "shift": 1, "tick": 1, "baton": 0, "recall_s": None, "parts": [],
         }
     )  # fmt: skip
-    kept = front.handle(Request("POST", workers.REPORT_PATH, report, -1e18))
+    kept = front.handle(Request("POST", workers.REPORT_PATH, report, NEVER))
     assert kept.status in (200, 421, 503) and 1.25 * facts.report_s + 4.0 < kept.idle_s < facts.lease_s
 
 
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -6,6 +6,7 @@
 from test_stories import quiet, running
 from world import World
 
+from bayford.protocol.cloud_api import Listed
 from bayford.scheduling import fleet, placement
 from bayford.scheduling.model import Machine
 from bayford.storage import records
@@ -124,7 +125,8 @@
     name = next(iter(where(w)))
     engine = w.nodes["n0"].engine
     w.cut.add((name, "n0"))
-    engine.on_list([(name, "small", w.workers[name].zone, False, "failed", 60.0)], w.clock.now)
+    failed = Listed(name, "", "small", w.workers[name].zone, False, "failed", 60.0)
+    engine.on_list([failed], w.clock.now)
     w.fleet("n0")
     steps(w, 4)
     assert name in w.deleted and len(running(w)) == 1
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -4,6 +4,8 @@
 import pytest
 from world import World
 
+from bayford.clock import NEVER
+from bayford.coordination.autoscaler import RentalOrder
 from bayford.coordination.controller import Controller
 from bayford.coordination.engine import Engine
 from bayford.protocol.cloud_api import NoCapacityError
@@ -201,7 +203,7 @@
     old_name = w.owner()
     worker = next(iter(w.workers.values()))
     sent, report = w.clock.now, worker.report()
-    late = w.nodes[old_name].report(report, -1e18)
+    late = w.nodes[old_name].report(report, NEVER)
     other = next(n for n in w.nodes if n != old_name)
     assert w.nodes[other].membership.claim(other)
     w.step_node(other)
@@ -358,7 +360,7 @@
     w.step()
     w.step()
     assert worker.running()
-    status, body = w.nodes["n0"].report(old, -1e18)
+    status, body = w.nodes["n0"].report(old, NEVER)
     assert status == 200 and b'"orders":[]' in body
     assert w.nodes["n0"].engine.shares[0].used_cpus == 1.0
 
@@ -586,7 +588,7 @@
     # Room comes back where img-a is. The smaller job would go first, but would have to fetch its image there.
     w.submit("n0", w.job(3, crew="blue", parts=4, bundle="img-b", guess_s=10.0))
     w.submit("n0", w.job(4, crew="blue", parts=8, bundle="img-a", guess_s=10.0))
-    engine.images_at = -1e18
+    engine.images_at = NEVER
     for part in [p for p in running(w) if p.startswith("req-000001/")]:
         w.finish(part)
     wait(w, 3.0, fleet=False)
@@ -1417,16 +1419,16 @@
         elif first == "delete":
             node.cloud_calls.delete(sorted(w.workers))
         elif first == "rent":
-            node.cloud_calls.rent("small", "north", True, 3, "backlog")
+            node.cloud_calls.rent(RentalOrder("small", "north", True, 3, "backlog"))
             assert not node.engine.refused, "the cloud was not asked, so it has refused nothing"
         elif first == "command":
             index = node.engine.machines_by.find(worker.name)
             for place in node.engine.machines[index].open.values():
-                node.engine._halt(place, 0.0)
+                node.engine.halt(place, 0.0)
             node._command_step()
         else:
             copy = msgspec.structs.replace(worker.report(), token=1, tick=999)
-            assert node.report(copy, -1e18)[0] == 503
+            assert node.report(copy, NEVER)[0] == 503
         assert w.deleted == [] and w.rented == rented and sent == [], first
         wait(w, 10.0)
         assert w.deleted == [] and len(running(w)) == 16
--- a/tests/world.py
+++ b/tests/world.py
@@ -13,11 +13,12 @@
 import msgspec
 import orjson
 
+from bayford.clock import NEVER
 from bayford.config import Settings, parse
 from bayford.coordination.controller import Controller
 from bayford.coordination.engine import Engine
 from bayford.protocol import jobs, mesh, workers
-from bayford.protocol.cloud_api import CloudBusyError, Listed, NoCapacityError
+from bayford.protocol.cloud_api import LIST_PAGE, CloudBusyError, Listed, MachinePage, NoCapacityError
 from bayford.scheduling.model import MachineType
 from bayford.scheduling.policy import Policy
 from bayford.storage import records
@@ -380,7 +381,7 @@
         self.deletes_lost = False
         self.late_deletes: list[list[str]] = []
         self.deleted: list[str] = []
-        self.list_age = 0
+        self.list_calls = 0
         self.cancelled: dict[str, float] = {}
         self.told: dict[str, str] = {}
         self.accepted: set[str] = set()
@@ -514,9 +515,9 @@
         self.try_(node.cloud_calls.list_step)
         step = node.fleet_once()
         for rental in step.rentals:
-            node.cloud_calls.rent(*rental)
+            node.cloud_calls.rent(rental)
         if step.deletions:
-            node.cloud_calls.delete([n for n, _ in step.deletions])
+            node.cloud_calls.delete([deletion.machine for deletion in step.deletions])
 
     def step(self, seconds: float = 0.5) -> None:
         """Some time passes: every controller steps, every worker reports to the owner."""
@@ -553,7 +554,7 @@
                 self.under_way = None
         report = worker.report()
         sent = self.clock.now
-        after = worker.last_answer.get(node, -1e18)
+        after = worker.last_answer.get(node, NEVER)
         self.sent = self.sent[-200:] + [report]
         answer = self.nodes[node].report(copy_of(report), after)
         if worker.name not in self.workers or worker.deaf:
@@ -595,7 +596,7 @@
     def replay(self, report: workers.Report, node: str) -> None:
         """A copy of an old report comes late, on a connection of its own; nobody reads the answer."""
         if node in self.nodes and node not in self.frozen:
-            self.nodes[node].report(copy_of(report), -1e18)
+            self.nodes[node].report(copy_of(report), NEVER)
 
     # -- users -----------------------------------------------------------------------------------------
 
@@ -774,13 +775,16 @@
                 self.capacity += 1
             self.deleted.append(name)
 
-    def machines(self) -> list[Listed]:
+    def machines(self, since: str) -> MachinePage:
         if self.cloud_down:
             raise CloudBusyError("503")
-        return [
+        self.list_calls += 1
+        listed = [
             Listed(w.name, "10.0.0.9:9", w.kind.name, w.zone, w.spot, "running", 5.0)
             for w in self.workers.values()
+            if w.name > since
         ]
+        return MachinePage(listed[:LIST_PAGE], len(listed) > LIST_PAGE)
 
     def finish(self, part: str) -> None:
         """The task completes wherever it runs."""
