scheduling: machines with room are indexed, a round no longer looks at the whole fleet for each job

Need: at 4,000 machines a job that waits was compared with every machine that had room.

Change: RoomIndex keeps them in buckets of type, zone, kind and free CPUs, and by image; a search goes through them in the order of the score and stops when it has enough. Same choices as before: a property test (hypothesis, derandomized) compares it with the search of the whole fleet.

--- a/bayford/coordination/owner_state.py
+++ b/bayford/coordination/owner_state.py
@@ -18,7 +18,6 @@
 from bayford.protocol import workers
 from bayford.scheduling import fleet
 from bayford.scheduling.model import (
-    EPS,
     SERVICE,
     SERVICE_RUN_S,
     URGENT,
@@ -31,6 +30,7 @@
 )
 from bayford.scheduling.policy import Policy
 from bayford.scheduling.quota import Share
+from bayford.scheduling.room_index import RoomIndex
 from bayford.storage import records
 from bayford.storage.ledger import Ledger, Progress, RowMaker
 from bayford.storage.store import Put
@@ -87,6 +87,7 @@
         # Called under the lock, so they must be short and take no lock of ours.
         self.on_ready: Callable[[int], None] = lambda machine: None
         self.on_halt: Callable[[int], None] = lambda machine: None
+        self.on_gone: Callable[[int], None] = lambda machine: None
         # Runs something short on the mirror's ledger.
         self.with_ledger: Callable[[Callable[[Ledger], Any]], Any] = lambda call: None
         self.refused: dict[fleet.Option, float] = {}
@@ -118,7 +119,7 @@
         self.ending: dict[str, None] = {}
         self.next_attempt = 1
         self.machines: dict[int, Machine] = {}
-        self.roomy: dict[int, Machine] = {}  # those with some CPU free
+        self.room = RoomIndex()  # those with some CPU or card free
         self.noticed: dict[int, Machine] = {}  # those that the cloud is about to take
         self.halting: dict[Placement, None] = {}
         self.seen: dict[int, dict[Key, str]] = {}  # what the last report said: phase of each attempt
@@ -246,6 +247,8 @@
         if machine is None:
             machine = Machine(index, name, heard=now, rented=now, idle_since=now)
             machine.images = {self.images.index(i): True for i in self.late_picture.get(name, ())}
+            for image in machine.images:
+                self.room.holds(machine, image)
             self.machines[index] = machine
             self.seen[index] = {}
         return machine
@@ -262,19 +265,14 @@
         machine.free_cpus += kind.cpus  # what is booked already was subtracted from 0
         machine.free_gpus += kind.gpus
         machine.free_mem += kind.mem_gb
-        self._note_room(machine)
-
-    def _note_room(self, machine: Machine) -> None:
-        if machine.free_cpus > EPS or machine.free_gpus > EPS:
-            self.roomy[machine.index] = machine
-        else:
-            self.roomy.pop(machine.index, None)
+        self.room.update(machine)
 
     def _use_image(self, machine: Machine, job: Job, there: bool) -> None:
         """A task of the job is on the machine, and with `there` its image too. The machine keeps those that
         were used last, so in our picture the ones used longest ago go when the cache is full."""
         had = machine.images.pop(job.image, False)
         machine.images[job.image] = had or there
+        self.room.holds(machine, job.image)
         self.image_gb[job.image] = job.spec.image_gb
         cache = self.types[machine.type].cache_gb if machine.type is not None else 0.0
         if had or not there or not cache:
@@ -285,6 +283,7 @@
             if left <= 0:
                 break
             del machine.images[image]
+            self.room.dropped(machine, image)
             left -= self.image_gb.get(image, 0.0)
 
     def _book(self, job: Job, machine: Machine, place: Placement) -> None:
@@ -292,7 +291,7 @@
         machine.open[place.key] = place
         machine.idle_since = 0.0
         machine.take(job.spec)
-        self._note_room(machine)
+        self.room.update(machine)
         self.shares[job.team].take(job.spec)
 
     def zone_of(self, machine: int) -> int | None:
@@ -511,7 +510,7 @@
         if job.open.get(place.task) is place:
             del job.open[place.task]
         machine.give(job.spec)
-        self._note_room(machine)
+        self.room.update(machine)
         self.shares[job.team].give(job.spec)
         if not machine.open:
             machine.idle_since = now
--- a/bayford/coordination/scheduling_round.py
+++ b/bayford/coordination/scheduling_round.py
@@ -68,30 +68,23 @@
         In a backlog, room on a machine without a job's image is better left to a job whose image is there,
         as long as the first finds its own on enough other machines: a fetch takes as long as many a task.
         """
-        roomy = [m for m in self.roomy.values() if m.usable and m.full_until <= now]
-        local = self._spread_images(now) if roomy else frozenset()
+        local = self._spread_images(now) if self.room else frozenset()
         passed: list[tuple[Job, int]] = []
         for entry in queue:
             job, count = entry.job, entry.count
-            if not roomy:
+            if not self.room:
                 job.why_waiting = NO_ROOM
                 continue
             picky = job.image in local and job.spec.priority < URGENT and job.spec.shape != GANG
-            if picky:
-                here = [m for m in roomy if job.image in m.images]
-                before = len(job.waiting)
-                self._place(job, count, here, now)
-                count -= before - len(job.waiting)
-                if count > 0 and job.waiting:
-                    passed.append((job, count))
-            else:
-                self._place(job, count, roomy, now)
-            roomy = [m for m in roomy if m.index in self.roomy]
+            before = len(job.waiting)
+            self._place(job, count, now, with_image_only=picky)
+            count -= before - len(job.waiting)
+            if picky and count > 0 and job.waiting:
+                passed.append((job, count))
         for job, count in passed:
-            if not roomy:
+            if not self.room:
                 break
-            self._place(job, count, roomy, now)
-            roomy = [m for m in roomy if m.index in self.roomy]
+            self._place(job, count, now)
 
     def _spread_images(self, now: float) -> frozenset[int]:
         """Images that are on so many machines that a job may wait for room on one of them."""
@@ -203,7 +196,8 @@
         left = (len(job.waiting) + 0.5 * len(job.open)) * run * max(job.spec.cpus, 0.1)
         return left / (1.0 + age / self.policy.aging_s)
 
-    def _place(self, job: Job, count: int, roomy: list[Machine], now: float) -> None:
+    def _place(self, job: Job, count: int, now: float, with_image_only: bool = False) -> None:
+        """Place up to `count` tasks; `with_image_only`: on machines that hold the image, or fetch it."""
         zoned = job.spec.one_zone or job.spec.spread
         if zoned and any(self.zone_of(p.machine) is None for p in job.open.values()):
             # After a takeover a machine with tasks of the job may not have been heard yet: where it
@@ -211,33 +205,69 @@
             job.why_waiting = "zone of a running task unknown"
             return
         counts = placement.zones_open(job, self.zone_of) if zoned else {}
-        machines = placement.candidates(job, roomy, counts, now)
-        if not self.dear_serves and job.spec.priority < URGENT and job.spec.spot and job.cheap_hosts:
-            # The cheap machines alone are in time: let the dear ones run empty and go back.
-            machines = [m for m in machines if m.spot or m.index in self.standing]
+        # The cheap machines alone are in time: let the dear ones run empty and go back.
+        cheap_only = not self.dear_serves and job.spec.priority < URGENT and job.spec.spot and job.cheap_hosts
+
+        def may_take(machine: Machine) -> bool:
+            return (
+                placement.eligible(job, machine, counts, now)
+                and (not cheap_only or machine.spot or machine.index in self.standing)
+                and (not with_image_only or job.image in machine.images)
+            )
+
         if job.spec.shape == GANG:
-            self._place_gang(job, machines, now)
-            return
-        if job.standing:
-            self._place_service(job, count, machines, now)
-            return
-        machines = placement.ranked(job, machines)
+            self._place_gang(job, [m for m in self.room.machines.values() if may_take(m)], now)
+        elif job.standing:
+            self._place_service(job, count, [m for m in self.room.machines.values() if may_take(m)], now)
+        elif zoned:
+            self._place_zoned(job, count, [m for m in self.room.machines.values() if may_take(m)], now)
+        else:
+            self._place_array(job, count, may_take, with_image_only, now)
+
+    def _place_array(
+        self, job: Job, count: int, may_take: Callable[[Machine], bool], with_image_only: bool, now: float
+    ) -> None:
+        """Tasks that go anywhere: as many machines as there are tasks are enough to choose from."""
         share = self.shares[job.team]
-        placed = 0
+        wanted = min(count, len(job.waiting), share.room(job.spec))
+        if wanted <= 0:
+            return
+        machines = self.room.best(job, wanted, may_take, with_image_only)
         on_turn = self._has_turn(job, now)
-        while job.waiting and placed < count and share.allows(job.spec):
-            machine = placement.first(job, machines, job.hints.pop(job.waiting[-1], None))
+        placed = 0
+        while placed < wanted:
+            machine = self._hinted(job, may_take) or placement.first(job, machines)
             if machine is None:
                 job.why_waiting = NO_ROOM
                 break
             self._put(job, job.waiting.pop(), machine, now, on_turn)
             placed += 1
-            if zoned:
-                counts = placement.zones_open(job, self.zone_of)
-                machines = placement.candidates(job, machines, counts, now)
         if placed:
             log.debug("job %s: placed %d, %d wait", job.spec.id, placed, len(job.waiting))
 
+    def _hinted(self, job: Job, may_take: Callable[[Machine], bool]) -> Machine | None:
+        """The machine that the balancer chose for the next task, if there is room on it still."""
+        hint = job.hints.pop(job.waiting[-1], None)
+        machine = None if hint is None else self.machines.get(hint)
+        return machine if machine is not None and machine.has_room(job.spec) and may_take(machine) else None
+
+    def _place_zoned(self, job: Job, count: int, machines: list[Machine], now: float) -> None:
+        """Tasks of an array that is bound together or apart: each placement changes which zones are open."""
+        machines = placement.ranked(job, machines)
+        share = self.shares[job.team]
+        on_turn = self._has_turn(job, now)
+        while job.waiting and count > 0 and share.allows(job.spec):
+            counts = placement.zones_open(job, self.zone_of)
+            machines = placement.candidates(job, machines, counts, now)
+            hint = job.hints.pop(job.waiting[-1], None)
+            hinted = [m for m in machines if m.index == hint and m.has_room(job.spec)]
+            machine = hinted[0] if hinted else placement.first(job, machines)
+            if machine is None:
+                job.why_waiting = NO_ROOM
+                break
+            self._put(job, job.waiting.pop(), machine, now, on_turn)
+            count -= 1
+
     def _place_service(self, job: Job, count: int, machines: list[Machine], now: float) -> None:
         """Replicas one by one, since each changes which machine is best for the next."""
         quiet = self.policy.standing_quiet * self.settings.facts.workers.report_s
--- a/bayford/coordination/worker_reports.py
+++ b/bayford/coordination/worker_reports.py
@@ -78,6 +78,7 @@
         machine.spot = report.spot
         machine.idle_since = now
         self._size(machine, report.type)
+        self.room.update(machine)
 
     def _new_session(self, machine: Machine, session: int, now: float) -> None:
         """The worker's lease ran out: it has killed and forgotten all tasks of earlier sessions."""
@@ -134,6 +135,7 @@
         place.started = True
         if state.phase == workers.FETCHING:
             machine.images.setdefault(place.job.image, False)
+            self.room.holds(machine, place.job.image)
         elif state.phase == workers.RUNNING:
             if place.running_since is None:
                 place.running_since = now - self._ran_before(place)
--- a/bayford/scheduling/placement.py
+++ b/bayford/scheduling/placement.py
@@ -36,19 +36,22 @@
     return (job.types is None or machine.type in job.types) and (job.spec.spot or not machine.spot)
 
 
+def eligible(job: Job, machine: Machine, counts: dict[int, int], now: float) -> bool:
+    """Whether a task of the job may start on the machine now, room not considered."""
+    return (
+        machine.usable
+        and machine.full_until <= now
+        and machine.zone is not None
+        and type_allowed(job, machine)
+        and zone_allowed(job, machine.zone, counts)
+        and machine.index not in job.failed_on
+        and (machine.kept_until <= now or machine.kept_for == job.spec.id)
+    )
+
+
 def candidates(job: Job, machines: Iterable[Machine], counts: dict[int, int], now: float) -> list[Machine]:
     """The machines where a task of the job may start now, room not considered."""
-    return [
-        m
-        for m in machines
-        if m.usable
-        and m.full_until <= now
-        and m.zone is not None
-        and type_allowed(job, m)
-        and zone_allowed(job, m.zone, counts)
-        and m.index not in job.failed_on
-        and (m.kept_until <= now or m.kept_for == job.spec.id)
-    ]
+    return [m for m in machines if eligible(job, m, counts, now)]
 
 
 def score(job: Job, machine: Machine) -> tuple[float, ...]:
@@ -65,12 +68,8 @@
     return sorted((m for m in machines if m.has_room(job.spec)), key=lambda m: score(job, m))
 
 
-def first(job: Job, machines: list[Machine], hint: int | None = None) -> Machine | None:
-    """The first of `machines` (as `ranked` gave them) that has room still, the balancer's hint before it."""
-    if hint is not None:
-        for machine in machines:
-            if machine.index == hint and machine.has_room(job.spec):
-                return machine
+def first(job: Job, machines: list[Machine]) -> Machine | None:
+    """The first of `machines` (as `ranked` gave them) that has room still; those before it are dropped."""
     while machines:
         if machines[0].has_room(job.spec):
             return machines[0]
--- /dev/null
+++ b/bayford/scheduling/room_index.py
@@ -0,0 +1,164 @@
+"""Machines with room, indexed, so that finding the best ones for a job does not mean looking at the fleet.
+
+The order is that of `placement.score`: machines that hold the image, then those that fetch it, then the rest;
+in each, spot before ordinary ones, the fullest first, the lowest number first. Machines alike in type, zone,
+kind and free CPUs lie in one bucket, in the order of their numbers; a search goes through the buckets in the
+order of the score and stops when it has enough. Pure: no clock, no I/O.
+"""
+
+import bisect
+import heapq
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from bayford.scheduling import placement
+from bayford.scheduling.model import EPS, Job, Machine
+
+
+class BucketKey(NamedTuple):
+    """What the machines of a bucket have in common."""
+
+    type: int | None
+    zone: int | None
+    spot: bool
+    free_cpus: float
+
+
+@dataclass(slots=True)
+class _Bucket:
+    free_cpus: float  # of the fullest machine in it, unrounded
+    indices: list[int] = field(default_factory=list)  # of machines, ascending
+
+
+class RoomIndex:
+    """The machines that have some CPU or card free."""
+
+    def __init__(self) -> None:
+        self.machines: dict[int, Machine] = {}
+        self._keys: dict[int, BucketKey] = {}
+        self._buckets: dict[BucketKey, _Bucket] = {}
+        self._holders: dict[int, set[int]] = {}  # machines by image, those without room too
+
+    def __len__(self) -> int:
+        return len(self.machines)
+
+    def __contains__(self, index: int) -> bool:
+        return index in self.machines
+
+    def update(self, machine: Machine) -> None:
+        """The machine's booked room, or what is known of the machine, has changed."""
+        old = self._keys.get(machine.index)
+        new: BucketKey | None = None
+        if machine.free_cpus > EPS or machine.free_gpus > EPS:
+            new = BucketKey(machine.type, machine.zone, machine.spot, round(machine.free_cpus, 4))
+        if new == old:
+            return
+        if old is not None:
+            self._take_out(machine.index, old)
+        if new is not None:
+            self._put_in(machine, new)
+
+    def remove(self, machine: Machine) -> None:
+        """The machine is gone."""
+        key = self._keys.get(machine.index)
+        if key is not None:
+            self._take_out(machine.index, key)
+        for image in machine.images:
+            self.dropped(machine, image)
+
+    def holds(self, machine: Machine, image: int) -> None:
+        """The machine has the image, or fetches it."""
+        self._holders.setdefault(image, set()).add(machine.index)
+
+    def dropped(self, machine: Machine, image: int) -> None:
+        """The machine has the image no more."""
+        holders = self._holders.get(image)
+        if holders is not None:
+            holders.discard(machine.index)
+            if not holders:
+                del self._holders[image]
+
+    def _put_in(self, machine: Machine, key: BucketKey) -> None:
+        bucket = self._buckets.get(key)
+        if bucket is None:
+            bucket = self._buckets[key] = _Bucket(machine.free_cpus)
+        bisect.insort(bucket.indices, machine.index)
+        self._keys[machine.index] = key
+        self.machines[machine.index] = machine
+
+    def _take_out(self, index: int, key: BucketKey) -> None:
+        bucket = self._buckets[key]
+        del bucket.indices[bisect.bisect_left(bucket.indices, index)]
+        if not bucket.indices:
+            del self._buckets[key]
+        del self._keys[index]
+        del self.machines[index]
+
+    def best(
+        self, job: Job, count: int, may_take: Callable[[Machine], bool], with_image_only: bool = False
+    ) -> list[Machine]:
+        """Up to `count` machines with room for a task of the job, the best first.
+
+        `may_take` says whether a machine may be used at all, room aside. `with_image_only`: none that would
+        have to begin a fetch.
+        """
+        found = self._holding(job, count, may_take)
+        if with_image_only or len(found) >= count:
+            return found
+        taken = {machine.index for machine in found}
+        for machine in self._in_order(job):
+            if machine.index not in taken and job.image not in machine.images and may_take(machine):
+                found.append(machine)
+                if len(found) == count:
+                    break
+        return found
+
+    def _holding(self, job: Job, count: int, may_take: Callable[[Machine], bool]) -> list[Machine]:
+        """The best machines that hold or fetch the job's image."""
+        holders = self._holders.get(job.image)
+        if not holders or not self.machines:
+            return []
+        if count * len(self.machines) >= len(holders) ** 2:
+            fitting = (
+                machine
+                for machine in map(self.machines.get, holders)
+                if machine is not None and machine.has_room(job.spec) and may_take(machine)
+            )
+            return heapq.nsmallest(count, fitting, key=lambda machine: placement.score(job, machine))
+        # So many hold it that a walk in the order of the score meets enough of them soon.
+        there: list[Machine] = []
+        coming: list[Machine] = []
+        for machine in self._in_order(job):
+            have = machine.images.get(job.image)
+            if have is None or (not have and len(coming) == count) or not may_take(machine):
+                continue
+            (there if have else coming).append(machine)
+            if len(there) == count:
+                break
+        return (there + coming)[:count]
+
+    def _in_order(self, job: Job) -> Iterator[Machine]:
+        """All machines with room for a task of the job by the score, images aside."""
+        spec = job.spec
+        fitting = [
+            (not key.spot, bucket.free_cpus, bucket)
+            for key, bucket in self._buckets.items()
+            if bucket.free_cpus + EPS >= spec.cpus
+            and (spec.spot or not key.spot)
+            and (job.types is None or key.type in job.types)
+            and (job.zone is None or key.zone == job.zone)
+        ]
+        fitting.sort(key=lambda entry: entry[:2])
+        at = 0
+        while at < len(fitting):
+            # Buckets of one rank, of several types or zones, are walked together.
+            end = at + 1
+            while end < len(fitting) and fitting[end][:2] == fitting[at][:2]:
+                end += 1
+            alike = [entry[2].indices for entry in fitting[at:end]]
+            for index in alike[0] if len(alike) == 1 else heapq.merge(*alike):
+                machine = self.machines[index]
+                if machine.has_room(spec):
+                    yield machine
+            at = end
--- /dev/null
+++ b/tests/test_room_index.py
@@ -0,0 +1,131 @@
+"""`RoomIndex` finds what a look at the whole fleet would find, whatever has happened to the machines."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bayford.scheduling import placement
+from bayford.scheduling.model import Job, JobSpec, Machine
+from bayford.scheduling.room_index import RoomIndex
+
+CPUS = 8.0
+IMAGES = 4
+ZONES = 2
+
+
+def make_job(image: int, cpus: float, mem_gb: float, zone: int | None, spot: bool, tasks: int = 5) -> Job:
+    spec = JobSpec(
+        "req-1", "sweep", "open", 1, tasks, cpus, 0.0, mem_gb, f"img-{image}", 1.0, None,
+        None if zone is None else f"zone-{zone}", False, False, spot, 20.0, 0.0, 0.0, None,
+    )  # fmt: skip
+    return Job(spec, 0, image, 0, zone, None, 0.0, 0.0)
+
+
+machines = st.builds(
+    lambda spot, zone, used, mem_gb, images, full, notice: Machine(
+        0, "", type=0, zone=zone, spot=spot, cpus=CPUS, echoed=True, free_cpus=CPUS - used, free_mem=mem_gb,
+        images=images, full_until=1.0 if full else 0.0, notice=1.0 if notice else None,
+    ),
+    spot=st.booleans(),
+    zone=st.integers(0, ZONES - 1),
+    used=st.integers(0, int(CPUS)).map(float),
+    mem_gb=st.sampled_from([2.0, 8.0, 32.0]),
+    images=st.dictionaries(st.integers(0, IMAGES - 1), st.booleans(), max_size=IMAGES),
+    full=st.booleans(),
+    notice=st.booleans(),
+)  # fmt: skip
+jobs = st.builds(
+    make_job,
+    image=st.integers(0, IMAGES),
+    cpus=st.sampled_from([0.5, 1.0, 3.0, 8.0]),
+    mem_gb=st.sampled_from([1.0, 4.0, 16.0]),
+    zone=st.none() | st.integers(0, ZONES - 1),
+    spot=st.booleans(),
+)
+
+
+def indexed(fleet: list[Machine]) -> RoomIndex:
+    room = RoomIndex()
+    for index, machine in enumerate(fleet):
+        machine.index = index
+        room.update(machine)
+        for image in machine.images:
+            room.holds(machine, image)
+    return room
+
+
+def full_search(job: Job, fleet: list[Machine], with_image_only: bool) -> list[Machine]:
+    found = placement.ranked(job, placement.candidates(job, fleet, {}, 0.0))
+    return [m for m in found if job.image in m.images] if with_image_only else found
+
+
+def assert_same(room: RoomIndex, fleet: list[Machine], job: Job, count: int, with_image_only: bool) -> None:
+    def may_take(machine: Machine) -> bool:
+        return placement.eligible(job, machine, {}, 0.0)
+
+    expected = [m.index for m in full_search(job, fleet, with_image_only)[:count]]
+    assert [m.index for m in room.best(job, count, may_take, with_image_only)] == expected
+
+
+@given(st.lists(machines, max_size=40), jobs, st.integers(1, 12), st.booleans())
+def test_the_index_finds_what_a_search_of_the_whole_fleet_finds(fleet, job, count, with_image_only):
+    assert_same(indexed(fleet), fleet, job, count, with_image_only)
+
+
+@given(
+    st.lists(machines, min_size=1, max_size=20),
+    st.lists(
+        st.tuples(
+            st.integers(0, 19),
+            st.sampled_from(["take", "give", "image", "evict", "gone", "back"]),
+            st.integers(0, IMAGES),
+        ),
+        max_size=30,
+    ),
+    jobs,
+    st.integers(1, 8),
+)
+def test_the_index_follows_bookings_images_and_lost_machines(fleet, events, job, count):
+    room = indexed(fleet)
+    present = {machine.index: machine for machine in fleet}
+    booked = make_job(0, 1.0, 1.0, None, True)
+    for number, event, image in events:
+        machine = fleet[number % len(fleet)]
+        if event == "back" and machine.index not in present:
+            present[machine.index] = machine
+            room.update(machine)
+        elif machine.index not in present:
+            continue
+        elif event == "take" and machine.has_room(booked.spec):
+            machine.take(booked.spec)
+        elif event == "give" and machine.free_cpus < CPUS:
+            machine.give(booked.spec)
+        elif event == "image":
+            machine.images[image] = True
+            room.holds(machine, image)
+        elif event == "evict" and machine.images.pop(image, None) is not None:
+            room.dropped(machine, image)
+        elif event == "gone":
+            room.remove(machine)
+            machine.images.clear()
+            del present[machine.index]
+            continue
+        room.update(machine)
+    assert set(room.machines) == {i for i, m in present.items() if m.free_cpus > 0}
+    assert_same(room, list(present.values()), job, count, False)
+
+
+def test_a_search_does_not_look_at_the_whole_fleet():
+    fleet = [
+        Machine(0, "", type=0, zone=n % 2, spot=True, cpus=CPUS, echoed=True, free_cpus=CPUS, free_mem=32.0)
+        for n in range(4000)
+    ]
+    room = indexed(fleet)
+    looked_at = 0
+
+    def may_take(machine: Machine) -> bool:
+        nonlocal looked_at
+        looked_at += 1
+        return True
+
+    assert len(room.best(make_job(0, 1.0, 1.0, None, True), 10, may_take)) == 10
+    assert looked_at == 10
