Fixed limits below 4,000 machines: cloud list, rental queue, searches, connections, relay

Found by going through the limits: the list's pages all at once exceed the cloud's rate above 3,000 machines or so and it is never read whole; 64 queued rentals (3,200 machines) hold up the deletions behind them; a relay forgets all ticks above 4,000 machines; workers keep their connections, so of more machines than connections the last get none; a search for tasks to stop takes 450 ms under the lock.

Change: pages are paced and lists spaced to 0.4 of our rate; what the queue does not take is decided anew; a crowded server answers reports at once and closes; a search looks at 1,024 machines, the next at the next ones; stops grow with the running tasks; stops' costs are computed once for all jobs of a search; one pass over the fleet for renting.

--- a/bayford/coordination/autoscaler.py
+++ b/bayford/coordination/autoscaler.py
@@ -2,7 +2,7 @@
 
 import logging
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
 from bayford.coordination.scheduling_round import SchedulingRound
@@ -19,6 +19,8 @@
 
 log = logging.getLogger("bayford.engine")
 
+Present = Sequence[tuple[fleet.Option, Machine]]  # the machines that count, by kind
+
 UNCONFIRMED_CANCEL = "a cancelled task there is not confirmed stopped"
 
 
@@ -92,11 +94,14 @@
             if not self.owner or not self.complete or not self.types:
                 return step
             now = self.clock()
-            waiting = self._needs(now)
+            present = list(self._fleet())
+            waiting = self._needs(now, present)
             groups = self._standing_groups(now)
-            self.standing = self._kept_for_services(groups)
+            self.standing = self._kept_for_services(groups, present)
             self._deletions(step, now, waiting, listening)
-            self._rentals(step, now, waiting, groups)
+            # Without those that have just been given up.
+            staying = [(option, machine) for option, machine in present if not machine.deleting]
+            self._rentals(step, now, waiting, groups, staying)
         return step
 
     def _fleet(self) -> Iterator[tuple[fleet.Option, Machine]]:
@@ -106,12 +111,12 @@
                 continue
             yield fleet.Option(machine.type, machine.zone, machine.spot), machine
 
-    def _needs(self, now: float) -> list[fleet.Need]:
+    def _needs(self, now: float, machines: Present) -> list[fleet.Need]:
         needs = []
-        yields = self._yields()
+        yields = self._yields(machines)
         room = {n: s.cpus_max - s.used_cpus for n, s in enumerate(self.shares)}
         present: dict[fleet.Option, float] = {}  # CPUs, first of what is there, then of what is coming too
-        for option, machine in self._fleet():
+        for option, machine in machines:
             present[option] = present.get(option, 0.0) + machine.cpus
         cheap = sum(cpus for option, cpus in present.items() if option.spot)
         for option, count in self.renting.items():
@@ -194,11 +199,11 @@
                     options.add(fleet.Option(index, zone, True))
         return frozenset(options)
 
-    def _yields(self) -> dict[fleet.Option, float]:
+    def _yields(self, machines: Present) -> dict[fleet.Option, float]:
         """CPUs that urgent work may have by kind of machine: all that it does not hold already, what is on
         its way included."""
         out: dict[fleet.Option, float] = {}
-        for option, machine in self._fleet():
+        for option, machine in machines:
             held = sum(p.job.spec.cpus for p in machine.open.values() if p.job.spec.priority >= URGENT)
             out[option] = out.get(option, 0.0) + machine.cpus - held
         for option, count in self.renting.items():
@@ -264,13 +269,13 @@
                     need[index] = need.get(index, 0.0) + floor
         return [fleet.Group(options, need) for options, need in sizes.items()]
 
-    def _kept_for_services(self, groups: list[fleet.Group]) -> set[int]:
+    def _kept_for_services(self, groups: list[fleet.Group], present: Present) -> set[int]:
         """The ordinary machines that the standing services and their reserve need: those with the most
         replicas first, so that none has to move for another to go back."""
         kept: set[int] = set()
         if not groups:
             return kept
-        machines = [(option, m) for option, m in self._fleet() if not option.spot]
+        machines = [(option, m) for option, m in present if not option.spot]
         replicas = {m.index: sum(p.job.standing for p in m.open.values()) for _, m in machines}
         machines.sort(key=lambda entry: (-replicas[entry[1].index], -len(entry[1].open), entry[1].index))
         for group in groups:
@@ -282,7 +287,12 @@
         return kept
 
     def _rentals(
-        self, step: FleetStep, now: float, needs: list[fleet.Need], groups: list[fleet.Group]
+        self,
+        step: FleetStep,
+        now: float,
+        needs: list[fleet.Need],
+        groups: list[fleet.Group],
+        machines: Present,
     ) -> None:
         lag = self.settings.facts.cloud.list_lag_s if self.inherited else 0.0
         if self.listed_at < self.owner_since + lag:
@@ -290,7 +300,7 @@
             return
         spare: dict[fleet.Option, int] = dict(self.renting)
         cpus = 0.0
-        for option, machine in self._fleet():
+        for option, machine in machines:
             cpus += machine.cpus
             if not machine.reported:
                 spare[option] = spare.get(option, 0) + 1
@@ -300,7 +310,7 @@
         busy = work / cpus if cpus else (1e9 if work else 0.0)
         refused = frozenset(o for o, until in self.refused.items() if until > now)
         fleet_now: dict[fleet.Option, int] = dict(self.renting)
-        for option, machine in self._fleet():
+        for option, machine in machines:
             if machine.notice is None:
                 fleet_now[option] = fleet_now.get(option, 0) + 1
         rentals = fleet.for_services(
@@ -487,7 +497,8 @@
                     self._close(machine, place, now)
                     place.job.requeue(place.task)
                 self.seen.pop(machine.index, None)
-                self.roomy.pop(machine.index, None)
+                self.room.remove(machine)
+                self.on_gone(machine.index)
                 self.noticed.pop(machine.index, None)
 
     def not_deleted(self, names: Iterable[str]) -> None:
--- a/bayford/coordination/balancer.py
+++ b/bayford/coordination/balancer.py
@@ -49,7 +49,7 @@
         for job in waiting[: state.policy.balance_jobs]:
             if free + EPS < job.spec.cpus:
                 continue  # a move shifts room and makes none: so much is not left in the whole fleet
-            hosts = hosts or {m.index: self._host(m) for m in usable}
+            hosts = hosts or {m.index: self._host(m) for m in self._known(usable)}
             plan = self._plan(job, left, usable, hosts, now)
             if plan is None:
                 continue
@@ -81,7 +81,9 @@
         need = (spec.cpus, spec.gpus, spec.mem_gb)
         sources = []
         for machine in allowed:
-            host = hosts[machine.index]
+            host = hosts.get(machine.index)
+            if host is None:
+                continue
             room = host.free
             for item in host.items:
                 room = tempered.add(room, item.need)
@@ -103,6 +105,12 @@
                 best = plan
         return best
 
+    def _known(self, usable: list[Machine]) -> list[Machine]:
+        """The machines that this round draws from. As the paper's ranks know some of the others (§IV-B), a
+        round knows a random part of a large fleet, so that its cost does not grow with it."""
+        most = self._state.policy.balance_machines
+        return usable if len(usable) <= most else self._state.rng.sample(usable, most)
+
     def _host(self, machine: Machine) -> tempered.Host:
         items = []
         for place in machine.open.values():
--- a/bayford/coordination/cloud_calls.py
+++ b/bayford/coordination/cloud_calls.py
@@ -18,13 +18,14 @@
 log = logging.getLogger("bayford.cloud")
 
 OWNER_SHARE = 0.8  # of the cloud's rate: the other controllers ask for the catalog alone
-RENTAL_QUEUE = 64
+RENTAL_QUEUE = 256  # requests of up to 50 machines each; what is over is decided anew
 RENTAL_ATTEMPTS = 4
 MOST_PER_RENTAL = 50
 MOST_PER_DELETION = 100
 PACE_S = 0.1
 PACE_ATTEMPTS = 100
 LIST_PERIOD_S = 2.0
+LIST_SHARE = 0.4  # of our rate, at the most: a long list must leave room for rentals and deletions
 OWNER_CATALOG_PERIOD_S = 25.0
 CATALOG_PERIOD_S = 60.0
 AFTER_CALL_S = 0.05
@@ -60,7 +61,8 @@
         self._cloud = cloud
         self._engine = engine
         self._ownership = ownership
-        self._rate = Budget(rps * OWNER_SHARE, max(1.0, rps), clock)
+        self._rps = rps * OWNER_SHARE
+        self._rate = Budget(self._rps, max(1.0, rps), clock)
         self._request_prefix = request_prefix
         self._requests = 0
         self._clock = clock
@@ -72,7 +74,11 @@
     def carry_out(self, step: FleetStep) -> None:
         """Queue what the engine has decided."""
         for order in step.rentals:
-            self._rentals.put(order)
+            try:
+                self._rentals.put_nowait(order)
+            except queue.Full:
+                # Waiting for a place would hold up the deletions behind it, of cancelled work's machines too.
+                self._engine.not_rented(order)
         for deletion in step.deletions:
             self._deletions.put(deletion.machine)
 
@@ -85,19 +91,21 @@
         self._rate.take(1.0)
 
     def list_step(self) -> float:
-        """Read the list of machines, page by page."""
+        """Read the list of machines, page by page within the rate; how long to wait until the next time."""
         if not self._engine.owner:
             return LIST_PERIOD_S
-        self.pace()
         began = self._clock()
         listed: list[Listed] = []
+        pages = 0
         more = True
         while more:
+            self.pace()
             page = self._cloud.machines(listed[-1].name if listed else "")
             listed += page.machines
+            pages += 1
             more = page.more and bool(page.machines)
         self._engine.on_list(listed, began)
-        return LIST_PERIOD_S
+        return max(LIST_PERIOD_S, pages / (self._rps * LIST_SHARE) - (self._clock() - began))
 
     def catalog_step(self) -> float:
         """Read the catalog; prices move."""
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -42,6 +42,7 @@
 VERIFY_S = 2.0  # how old the owner lets its last read become, with nothing to start
 ADOPT_WAIT_S = 2.0
 COMMANDERS = 3
+HALT_QUEUE = 16_384  # machines with tasks to stop; what is over goes out with the answers to reports
 ENDINGS = 3
 OWNER_WATCH_S = 0.1  # the owner learns of new jobs and cancellations by it
 WATCH_SHARE = 4.0  # in requests: all the watches together take a quarter of the limit at the most
@@ -77,7 +78,7 @@
         for an event; the tests pass one that moves their clock instead."""
         self._pause = pause
         self._command = command
-        self._halts: queue.Queue[int] = queue.Queue(1000)
+        self._halts: queue.Queue[int] = queue.Queue(HALT_QUEUE)
         self.settings = settings
         self.engine = engine
         self.store = store
@@ -132,6 +133,7 @@
         engine.with_ledger = self.mirror.with_ledger
         engine.on_ready = self._on_ready
         engine.on_halt = self._on_halt
+        engine.on_gone = self._on_gone
 
     # -- hooks -----------------------------------------------------------------------------------------
 
@@ -140,6 +142,9 @@
         if event is not None:
             event.set()
 
+    def _on_gone(self, machine: int) -> None:
+        self._ready.pop(machine, None)
+
     def _on_halt(self, machine: int) -> None:
         self._on_ready(machine)
         try:
@@ -618,8 +623,8 @@
 
     # -- workers ---------------------------------------------------------------------------------------
 
-    def report(self, report: workers.Report, after: float) -> Reply:
-        """Answer a worker's report."""
+    def report(self, report: workers.Report, after: float, hold: bool = True) -> Reply:
+        """Answer a worker's report; `hold`: it may be kept for a moment, awaiting work to answer it with."""
         arrival = self.clock()
         if self.isolated():
             # It still hears us, but we can neither read nor write, and another has taken over or is about
@@ -633,7 +638,7 @@
                 return Reply(503, jobs.error("behind the map"))
         view = self.membership.view
         if self.membership.is_mine():
-            return self._report_owned(report, arrival, after)
+            return self._report_owned(report, arrival, after, hold)
         if not view.owner or not self.membership.is_live(view.owner, view.incarnation):
             return Reply(503, jobs.error("no owner yet"))
         if self.relay.stale(report):
@@ -651,7 +656,7 @@
                 return Reply(421, workers.redirect(able[0]))
         return self._report_relayed(report)
 
-    def _report_owned(self, report: workers.Report, arrival: float, after: float) -> Reply:
+    def _report_owned(self, report: workers.Report, arrival: float, after: float, hold: bool) -> Reply:
         engine = self.engine
         view = self.membership.view
         adopted = self._adopted
@@ -668,7 +673,7 @@
         self._kick.set()
         if engine.has_news():
             self._commit.set()
-        hold = engine.hold_s(index)
+        hold_s = engine.hold_s(index) if hold else 0.0
         while True:
             event.clear()
             orders, gated = engine.orders_for(index, arrival)
@@ -676,13 +681,13 @@
             if orders and not gated:
                 break
             if gated:
-                if waited >= GATE_WAIT_S + hold:
+                if waited >= GATE_WAIT_S + hold_s:
                     break
                 self._gated.add(index)
                 self._verify.set()
                 self._pause(event, 0.3)
-            elif waited < hold:
-                self._pause(event, hold - waited)
+            elif waited < hold_s:
+                self._pause(event, hold_s - waited)
             else:
                 break
         if self.membership.view.stamp != view.stamp or engine.term != view.stamp or not self.sure_owner():
--- a/bayford/coordination/preemptor.py
+++ b/bayford/coordination/preemptor.py
@@ -3,18 +3,43 @@
 Whom PROTOCOL lets be stopped, and what that loses, is decided in `scheduling.preemption`.
 """
 
+from __future__ import annotations
+
 import dataclasses
 import logging
+import math
+from dataclasses import dataclass, field
 
 from bayford.coordination.owner_state import ROOM_KEPT_S, OwnerState
 from bayford.scheduling import placement, preemption
-from bayford.scheduling.model import EPS, URGENT, Job, Machine
+from bayford.scheduling.model import EPS, URGENT, Job, Machine, Placement
 from bayford.scheduling.quota import Share
 
 log = logging.getLogger("bayford.engine")
 
 SEARCH_PERIOD_S = 0.25  # victims are looked for on all machines, so not in every round
 JOBS_PER_SEARCH = 4  # jobs that room is made for at a time
+MOST_PER_MACHINE = 4  # tasks stopped on one machine for one task
+
+
+@dataclass(slots=True)
+class _Search:
+    """One search for victims, for several jobs."""
+
+    now: float
+    shares: list[Share]  # as they will be once the stops under way are through
+    machines: list[Machine]
+    stops: int  # how many more there may be
+    losses: dict[Placement, float] = field(default_factory=dict)  # what each stop would cost
+
+
+@dataclass(frozen=True, slots=True)
+class _Wanting:
+    """A job that may push others out."""
+
+    job: Job
+    tasks: int  # that want room
+    owed: int  # of these, within the team's guarantee
 
 
 class Preemptor:
@@ -22,6 +47,7 @@
 
     def __init__(self, state: OwnerState) -> None:
         self._state = state
+        self._searches = 0  # so far: each begins elsewhere in a large fleet
 
     def make_room(self, queue: list[Job], now: float) -> None:
         """Stop the cheapest tasks for waiting work that PROTOCOL lets push them out."""
@@ -32,41 +58,54 @@
         if not wanting:
             return
         state.preempt_at = now + SEARCH_PERIOD_S
-        budget = state.policy.preempt_per_round
-        after = [dataclasses.replace(share) for share in state.shares]  # once the stops are through
-        busy = set()
-        for place in state.halting:
-            after[place.job.team].give(place.job.spec)
-            busy.add(place.machine)
+        search = self._begin_search(now)
         # What tasks give back by themselves in a moment needs no stops.
         given = state.policy.preempt_wait_s * self._turnover()
-        machines = [m for m in state.machines.values() if not m.relay and m.index not in busy]
-        for job, need, owed in wanting:
+        for entry in wanting:
+            job, need = entry.job, entry.tasks
             if now - job.created < 2.0 * state.policy.preempt_wait_s and not job.standing:
                 soon = min(need, int(given / max(job.spec.cpus, 0.1)))
                 given -= soon * job.spec.cpus
                 need -= soon
-            if need <= 0:
+            if need > 0:
+                self._stop_for(job, need, entry.owed, search)
+
+    def _begin_search(self, now: float) -> _Search:
+        state = self._state
+        shares = [dataclasses.replace(share) for share in state.shares]
+        busy = set()
+        for place in state.halting:
+            shares[place.job.team].give(place.job.spec)
+            busy.add(place.machine)
+        machines = [m for m in state.machines.values() if not m.relay and m.index not in busy]
+        running = sum(len(job.open) for job in state.jobs.values())
+        # A fleet several times as large gives back several times as much in the same time.
+        stops = max(state.policy.preempt_per_round, int(state.policy.preempt_share * running))
+        self._searches += 1
+        return _Search(now, shares, machines, stops)
+
+    def _stop_for(self, job: Job, need: int, owed: int, search: _Search) -> None:
+        """Stop what makes room for `need` tasks of the job, of which `owed` lie within its guarantee."""
+        state = self._state
+        for found in self._find_victims(job, search, owed > 0):
+            if need <= 0 or search.stops <= 0:
+                break
+            if any(victim.place.halting for victim in found):
+                continue  # the machine has been taken for a job before this one
+            if not all(preemption.may_stop(job, v.job, search.shares, owed > 0) for v in found):
                 continue
-            for found in self._find_victims(job, machines, now, after, owed > 0):
-                if need <= 0 or budget <= 0:
-                    break
-                if any(v.place.halting for v in found):
-                    continue  # the machine has been taken for a job before this one
-                if not all(preemption.may_stop(job, v.job, after, owed > 0) for v in found):
-                    continue
-                # Else smaller tasks would take what is free there already, and the stop was for nothing.
-                machine = state.machines[found[0].place.machine]
-                machine.kept_for, machine.kept_until = job.spec.id, now + ROOM_KEPT_S
-                owed -= 1
-                need -= 1
-                for victim in found:
-                    victim.job.note_stop(victim.place.task)
-                    after[victim.job.team].give(victim.job.spec)
-                    saves = victim.job.spec.checkpoint_s > 0
-                    state.halt(victim.place, victim.job.spec.save_s * 1.5 if saves else 0.0)
-                    budget -= 1
-                log.info("job %s waits: stopping %s", job.spec.id, [v.place.part for v in found])
+            # Else smaller tasks would take what is free there already, and the stop was for nothing.
+            machine = state.machines[found[0].place.machine]
+            machine.kept_for, machine.kept_until = job.spec.id, search.now + ROOM_KEPT_S
+            owed -= 1
+            need -= 1
+            for victim in found:
+                victim.job.note_stop(victim.place.task)
+                search.shares[victim.job.team].give(victim.job.spec)
+                saves = victim.job.spec.checkpoint_s > 0
+                state.halt(victim.place, victim.job.spec.save_s * 1.5 if saves else 0.0)
+                search.stops -= 1
+            log.info("job %s waits: stopping %s", job.spec.id, [v.place.part for v in found])
 
     def _turnover(self) -> float:
         """CPUs that running tasks give back in a second, as long as they are expected to last."""
@@ -117,7 +156,7 @@
         if stops:
             log.info("job %s waits for its team's limit: stopping %d tasks of the team", spec.id, stops)
 
-    def _wanting(self, queue: list[Job], now: float) -> list[tuple[Job, int, int]]:
+    def _wanting(self, queue: list[Job], now: float) -> list[_Wanting]:
         """Whose waiting work may push others out, how many tasks of it, and how many that is owed."""
         state = self._state
         kept: dict[str, int] = {}
@@ -138,32 +177,27 @@
                 need = min(need, owed)
             need -= kept.get(job.spec.id, 0)
             if need > 0:
-                out.append((job, need, owed))
+                out.append(_Wanting(job, need, owed))
         return out[:JOBS_PER_SEARCH]
 
-    def _find_victims(
-        self, waiting: Job, machines: list[Machine], now: float, after: list[Share], owed: bool
-    ) -> list[list[preemption.Victim]]:
+    def _find_victims(self, waiting: Job, search: _Search, owed: bool) -> list[list[preemption.Victim]]:
         """The stops that would make room for one task, machine by machine, the cheapest first."""
         state = self._state
+        now = search.now
         counts = placement.zones_open(waiting, state.zone_of)
         quiet = state.policy.standing_quiet * state.settings.facts.workers.report_s
         out: list[tuple[float, int, list[preemption.Victim]]] = []
-        for machine in placement.candidates(waiting, machines, counts, now):
+        for machine in self._window(placement.candidates(waiting, search.machines, counts, now)):
             if waiting.standing and not placement.steady(machine, now, quiet):
                 continue
-            found = []
-            for place in machine.open.values():
-                job = place.job
-                if not place.on_turn and preemption.may_stop(waiting, job, after, owed):
-                    expected = state.expected(job)
-                    ran = 0.0 if place.running_since is None else now - place.running_since
-                    if waiting.spec.priority < URGENT and expected - ran < state.policy.guarantee_wait_s / 2:
-                        continue  # it gives the room back by itself soon; stopping it wastes its work
-                    loss = preemption.lost_work(job, place, now, expected)
-                    loss += preemption.delay_cost(job, place, now, expected, state.due_s(job))
-                    found.append(preemption.Victim(job, place, loss))
-            got = preemption.victims_on(machine, waiting, found, 4) if found else None
+            found = [
+                preemption.Victim(place.job, place, self._loss(place, search))
+                for place in machine.open.values()
+                if not place.on_turn
+                and preemption.may_stop(waiting, place.job, search.shares, owed)
+                and not (waiting.spec.priority < URGENT and self._ends_soon(place, now))
+            ]
+            got = preemption.victims_on(machine, waiting, found, MOST_PER_MACHINE) if found else None
             if got is None:
                 continue
             cost = got[1]
@@ -177,3 +211,28 @@
             out.append((cost, machine.index, got[0]))
         out.sort(key=lambda entry: entry[:2])
         return [found for _, _, found in out]
+
+    def _window(self, machines: list[Machine]) -> list[Machine]:
+        """As many machines as one search may look at; the next search goes on where this one ends."""
+        most = self._state.policy.preempt_machines
+        if len(machines) <= most:
+            return machines
+        windows = math.ceil(len(machines) / most)
+        begin = self._searches % windows * most
+        return machines[begin : begin + most]
+
+    def _loss(self, place: Placement, search: _Search) -> float:
+        """What stopping a task costs, the same for whichever job it makes room."""
+        loss = search.losses.get(place)
+        if loss is None:
+            state = self._state
+            expected = state.expected(place.job)
+            loss = preemption.lost_work(place.job, place, search.now, expected)
+            loss += preemption.delay_cost(place.job, place, search.now, expected, state.due_s(place.job))
+            search.losses[place] = loss
+        return loss
+
+    def _ends_soon(self, place: Placement, now: float) -> bool:
+        """Whether a task gives its room back by itself soon; stopping it would waste its work."""
+        ran = 0.0 if place.running_since is None else now - place.running_since
+        return self._state.expected(place.job) - ran < self._state.policy.guarantee_wait_s / 2
--- a/bayford/coordination/relay.py
+++ b/bayford/coordination/relay.py
@@ -25,7 +25,7 @@
 AGAIN_S = 60.0
 OLD_S = 15.0
 CHANGED_S, UNCHANGED_S = 0.7, 4.0  # how often the reports are passed on
-MOST = 4000  # machines remembered
+REMEMBERED = 32_768  # machines, and cancelled jobs, remembered
 
 
 class Relay:
@@ -61,7 +61,7 @@
         """
         order = (report.session, report.tick)
         with self._lock:
-            if len(self._latest) > MOST:
+            if len(self._latest) > REMEMBERED:
                 self._latest.clear()
             if order <= self._latest.get(report.machine, (-1, -1)):
                 return True
@@ -88,7 +88,7 @@
                 self._until[machine] = now + FIRST_S
                 return True
             self._sent_away[machine] = now
-            if len(self._sent_away) > MOST:
+            if len(self._sent_away) > REMEMBERED:
                 self._sent_away = {m: t for m, t in self._sent_away.items() if now - t < RETURN_S}
                 self._until = {m: t for m, t in self._until.items() if now - t < AGAIN_S}
             return False
@@ -128,7 +128,7 @@
     def note_cancelled(self, jobs: Iterable[str]) -> None:
         """Another controller has confirmed the cancellation of these; the mirror may not know it yet."""
         with self._lock:
-            if len(self._known_cancelled) > MOST:
+            if len(self._known_cancelled) > REMEMBERED:
                 self._known_cancelled.clear()  # told early is all that it is: the mirror will know
             self._known_cancelled.update(jobs)
 
--- a/bayford/scheduling/fleet.py
+++ b/bayford/scheduling/fleet.py
@@ -3,14 +3,14 @@
 import math
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from bayford.scheduling.model import EPS, MachineType
 
 MIN_CHARGE_S = 60.0  # a deleted machine costs at least this long
 
 
-@dataclass(frozen=True, slots=True)
-class Option:
+class Option(NamedTuple):
     """A kind of machine that can be asked for: type, zone, spot or ordinary."""
 
     type: int
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -15,6 +15,8 @@
     turn_share: float = 0.02
     # preemption
     preempt_per_round: int = 16
+    preempt_share: float = 0.004
+    preempt_machines: int = 1024
     preempt_wait_s: float = 0.4
     guarantee_wait_s: float = 300.0
     fetch_weight: float = 8.0
@@ -46,4 +48,5 @@
     balance_iterations: int = 3
     balance_sources: int = 3
     balance_jobs: int = 4
+    balance_machines: int = 1024
     summary_every_s: float = 30.0
--- a/bayford/transport/front.py
+++ b/bayford/transport/front.py
@@ -42,8 +42,10 @@
             report = workers.parse_report(request.body)
         except jobs.InvalidError as bad:
             return Response(400, jobs.error(str(bad)))
-        reply = self._controller.report(report, request.after)
-        return Response(reply.status, reply.body, idle_s=self._worker_idle_s)
+        reply = self._controller.report(report, request.after, hold=not request.crowded)
+        # A fleet of more machines than there may be connections takes turns: each is answered at once and
+        # makes room. Otherwise those that came last would find no place until a lease has run out.
+        return Response(reply.status, reply.body, idle_s=0.0 if request.crowded else self._worker_idle_s)
 
     def _user(self, request: Request, path: str) -> Response:
         rest = path[len(jobs.SUBMIT_PATH) :].strip("/").split("/")
--- a/bayford/transport/server.py
+++ b/bayford/transport/server.py
@@ -17,6 +17,7 @@
 MAX_BODY = 64 * 1024
 MAX_LINE = 8 * 1024
 MAX_HEADERS = 64
+BACKLOG = 4096  # connections that wait to be accepted: a whole fleet, right after a takeover
 
 REASONS = {
     200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
@@ -187,7 +188,7 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind((host, port))
-        self._socket.listen(256)
+        self._socket.listen(BACKLOG)
         self.port: int = self._socket.getsockname()[1]
 
     @property
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -12,7 +12,9 @@
 # turn_share = 0.02          # this share of its tasks, rounded up, which nobody then pushes out
 
 # --- preemption
-# preempt_per_round = 16     # tasks stopped for waiting work in one round
+# preempt_per_round = 16     # tasks stopped for waiting work in one round,
+# preempt_share = 0.004      # or this share of the running ones, if that is more
+# preempt_machines = 1024    # machines that one search for such tasks looks at; the next one goes on from there
 # preempt_wait_s = 0.4       # room that tasks ending by themselves give back within this is not made by stops
 # guarantee_wait_s = 300.0  # how long work within a guarantee waits before it pushes out borrowed work
 # fetch_weight = 8.0         # how much a fetch counts against a machine when victims are chosen
@@ -49,4 +51,5 @@
 # balance_iterations = 3     # iterations
 # balance_sources = 3        # machines tried as the source for a waiting task
 # balance_jobs = 4           # waiting jobs that moves are looked for in one round
+# balance_machines = 1024    # machines that a round draws targets from; of a larger fleet, a random part
 # summary_every_s = 30.0     # a controller's summary goes to the state service this often
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,264 @@
+"""The service at 4,000 machines: a start, a takeover and the loss of 500 machines, and its fixed limits."""
+
+import collections
+import random
+import socket
+import threading
+
+import orjson
+from world import World
+
+from bayford.config import Settings
+from bayford.coordination.autoscaler import Deletion, FleetStep, RentalOrder
+from bayford.coordination.cloud_calls import LIST_SHARE, OWNER_SHARE, CloudCalls
+from bayford.coordination.engine import Engine
+from bayford.protocol import workers
+from bayford.protocol.cloud_api import LIST_PAGE, CloudBusyError, Listed, MachinePage
+from bayford.scheduling.model import MachineType
+from bayford.scheduling.policy import Policy
+from bayford.transport.front import Front
+from bayford.transport.limit import Limit
+from bayford.transport.server import Server
+
+MACHINES = 4000
+CPUS = 4  # of each machine
+LOST = 500
+STEP_S = 0.5
+REPORT_STEPS = 4  # a worker reports every two seconds, as the settings say
+
+
+def pass_scaled(cluster: World, seconds: float, until_running: int | None = None) -> None:
+    """Time passes; of the workers a quarter reports in each half second, each every two seconds."""
+    for step in range(int(seconds / STEP_S)):
+        cluster.pass_time(STEP_S)
+        for n, worker in enumerate(list(cluster.workers.values())):
+            if n % REPORT_STEPS == step % REPORT_STEPS:
+                cluster.wander(worker)
+        for name in list(cluster.nodes):
+            cluster.step_node(name)
+        if step % REPORT_STEPS == 0:
+            for name in list(cluster.nodes):
+                cluster.fleet(name)
+            cluster.check()
+        if until_running is not None and running_count(cluster) >= until_running:
+            return
+
+
+def running_count(cluster: World) -> int:
+    """How many tasks run."""
+    return sum(len(worker.running()) for worker in cluster.workers.values())
+
+
+def test_4000_machines_start_change_their_owner_and_lose_500():
+    cluster = World(nodes=3, value_kb=8.0)
+    cluster.pause_s = 0.0005  # 4,000 reports wait for a read each, and their times add up here
+    cluster.capacity = 0  # no more than these, but in the place of some that are deleted
+    for n in range(MACHINES):
+        cluster.machine(zone="north" if n % 2 else "south")
+    tasks = MACHINES * CPUS
+    for number in range(4):
+        body = cluster.job(number + 1, crew="open", parts=tasks // 4, guess_s=5000.0, mem_gb=2.0)
+        assert cluster.submit("n0", body) == 201
+
+    pass_scaled(cluster, 40.0, until_running=tasks)
+    assert running_count(cluster) == tasks, "every machine is used to the full"
+    first = cluster.owner()
+    assert first is not None
+    assert len(cluster.nodes[first].engine.machines) == MACHINES
+
+    before = {worker.name: sorted(worker.running()) for worker in cluster.workers.values()}
+    del cluster.nodes[first]
+    pass_scaled(cluster, 30.0)
+    second = cluster.owner()
+    assert second not in (None, first)
+    assert {worker.name: sorted(worker.running()) for worker in cluster.workers.values()} == before
+    assert cluster.deleted == [], "a takeover costs no machine"
+
+    lost = list(cluster.workers.values())[:: MACHINES // LOST]
+    assert len(lost) == LOST
+    for worker in lost:
+        worker.hung = True
+    pass_scaled(cluster, 30.0)
+    assert set(cluster.deleted) == {worker.name for worker in lost}
+    pass_scaled(cluster, 40.0, until_running=tasks)
+    parts = collections.Counter(part for worker in cluster.workers.values() for part in worker.running())
+    assert len(parts) == tasks and set(parts.values()) == {1}
+    assert len(cluster.workers) == MACHINES
+
+
+class PacedCloud:
+    """A cloud that answers 429 above its rate, with bursts worth two seconds, as its page says."""
+
+    def __init__(self, rps: float, count: int) -> None:
+        self.now = 0.0
+        self.rps = rps
+        self.saved = 2.0 * rps
+        self.filled = 0.0
+        self.names = [f"vm-{n:06d}" for n in range(count)]
+        self.calls: list[tuple[float, str]] = []
+        self.busy = 0
+
+    def _enter(self, call: str) -> None:
+        self.saved = min(2.0 * self.rps, self.saved + (self.now - self.filled) * self.rps)
+        self.filled = self.now
+        if self.saved < 1.0:
+            self.busy += 1
+            raise CloudBusyError("429")
+        self.saved -= 1.0
+        self.calls.append((self.now, call))
+
+    def catalog(self) -> list[MachineType]:
+        return []
+
+    def rent(self, request: str, kind: str, zone: str, spot: bool, count: int) -> list[str]:
+        self._enter("rent")
+        return [f"{request}-{n}" for n in range(count)]
+
+    def delete(self, names: list[str]) -> None:
+        self._enter("delete")
+
+    def machines(self, since: str) -> MachinePage:
+        self._enter("list")
+        after = [name for name in self.names if name > since]
+        page = [Listed(name, "", "small", "north", True, "running", 9.0) for name in after[:LIST_PAGE]]
+        return MachinePage(page, len(after) > LIST_PAGE)
+
+
+class SureOwner:
+    """Standing that nobody doubts."""
+
+    def sure_owner(self) -> bool:
+        return True
+
+    def unrivalled(self) -> bool:
+        return False
+
+
+def owner_with_cloud(cloud: PacedCloud, settings: Settings) -> tuple[Engine, CloudCalls]:
+    engine = Engine(settings, Policy(), lambda: cloud.now, lambda: cloud.now, random.Random(1))
+    engine.set_types([MachineType("small", 4.0, 0.0, 32.0, 0.2, 0.06, 20.0, 0.5, ("north", "south"))])
+    engine.adopt([], term=1, token=1, as_of=0.0)
+
+    def pause(event: threading.Event, seconds: float) -> None:
+        cloud.now += seconds
+
+    calls = CloudCalls(
+        cloud, engine, SureOwner(), cloud.rps, "r-n0", lambda: cloud.now, pause, lambda: None
+    )  # fmt: skip
+    return engine, calls
+
+
+def test_the_list_of_4000_machines_keeps_to_the_rate_and_leaves_room_for_rentals():
+    """All pages at once were more than the cloud takes in a burst, so that the list was never read whole."""
+    cloud = PacedCloud(rps=3.0, count=MACHINES)
+    engine, calls = owner_with_cloud(cloud, World().settings("n0"))
+    order = RentalOrder("small", "north", True, 50, "backlog")
+    lists = 0
+    while cloud.now < 60.0:
+        wait_s = calls.list_step()
+        next_list = cloud.now + wait_s
+        lists += 1
+        while cloud.now < next_list:  # the thread beside it, which rents as fast as it may
+            calls.rent(order)
+            cloud.now += 0.05
+    assert cloud.busy == 0
+    assert len([name for name in cloud.names if engine.machines_by.find(name) is not None]) == MACHINES
+    assert lists >= 4, "each machine's fate is seen within a quarter of a minute"
+    kinds = collections.Counter(kind for _, kind in cloud.calls)
+    assert kinds["list"] <= 1.1 * LIST_SHARE * OWNER_SHARE * cloud.rps * cloud.now
+    assert kinds["rent"] >= 60, "the rest of the rate is for the others"
+
+
+def test_more_rentals_than_the_queue_holds_do_not_hold_up_deletions():
+    cloud = PacedCloud(rps=3.0, count=0)
+    engine, calls = owner_with_cloud(cloud, World().settings("n0"))
+    orders = [RentalOrder("small", "north", True, 50, "backlog")] * 400
+    for order in orders:
+        engine._asked_for(engine._option(order), order.count)
+    calls.carry_out(FleetStep(orders, [Deletion("vm-000001", "idle")]))
+    assert calls.delete(["vm-000001"])
+    waiting = sum(engine.renting.values())
+    assert MACHINES <= waiting < 400 * 50, "what the queue did not take is decided anew"
+
+
+def test_a_relay_knows_late_copies_of_4000_machines_reports():
+    cluster = World(nodes=2)
+    relay = cluster.nodes["n1"].relay
+    reports = [cluster.machine().report() for _ in range(MACHINES + 500)]
+    assert not any(relay.stale(report) for report in reports)
+    assert all(relay.stale(report) for report in reports), "each of them was here before"
+
+
+def test_searches_for_tasks_to_stop_go_through_a_large_fleet_and_stop_in_proportion():
+    cluster = World(value_kb=8.0)
+    cluster.pause_s = 0.0005
+    node = cluster.nodes["n0"]
+    engine = node.engine
+    machines = 3 * engine.policy.preempt_machines
+    fleet = [cluster.machine(zone="north" if n % 2 else "south") for n in range(machines)]
+    for _ in range(2):
+        cluster.pass_time(0.5)
+        for worker in fleet:
+            cluster.report(worker, "n0")
+    cluster.submit("n0", cluster.job(1, crew="open", parts=machines * CPUS, guess_s=900.0, mem_gb=1.0))
+    node.mirror.pull(0.0)
+    engine.round()
+    assert len(engine.jobs["req-000001"].open) == machines * CPUS
+    cluster.submit(
+        "n0", cluster.job(2, crew="open", rank="urgent", parts=machines, cpus=4.0, mem_gb=1.0)
+    )  # fmt: skip
+    node.mirror.pull(0.0)
+    stops = []
+    for _ in range(4):
+        cluster.pass_time(1.0)
+        before = len(engine.halting)
+        engine.round()
+        stops.append(len(engine.halting) - before)
+    share = int(engine.policy.preempt_share * machines * CPUS)
+    assert share > engine.policy.preempt_per_round
+    assert all(share <= stopped < share + CPUS for stopped in stops)
+    stopped_on = {place.machine for place in engine.halting}
+    parts = {index * 3 // machines for index in stopped_on}
+    assert parts == {0, 1, 2}, "no part of the fleet is spared"
+
+
+def test_a_fleet_of_more_machines_than_connections_takes_turns():
+    """Workers kept their connections: those which came last were turned away until a lease ran out."""
+    most, clients = 8, 40
+    cluster = World()
+    cluster.step()
+    front = Front(cluster.nodes["n0"], Limit())
+    server = Server("127.0.0.1", 0, front.handle, most, "front")
+    server.start()
+    connections: dict[int, socket.socket] = {}
+
+    def body(number: int, tick: int) -> bytes:
+        return orjson.dumps(
+            {
+                "dock": f"vm-{number:06d}", "addr": "10.1.0.1:9000", "build": "small", "yard": "north",
+                "loaners": True, "shift": 1, "tick": tick, "baton": 0, "recall_s": None, "parts": [],
+            }
+        )  # fmt: skip
+
+    def report(number: int, tick: int) -> bool:
+        """Whether the report of this worker is answered."""
+        sock = connections.get(number) or socket.create_connection(("127.0.0.1", server.port), timeout=5)
+        data = body(number, tick)
+        head = f"POST {workers.REPORT_PATH} HTTP/1.1\r\nContent-Length: {len(data)}\r\n\r\n"
+        try:
+            sock.sendall(head.encode() + data)
+            answer = sock.recv(65536)
+        except OSError:
+            answer = b""
+        if b"Connection: close" in answer or not answer:
+            sock.close()
+            connections.pop(number, None)
+        else:
+            connections[number] = sock
+        return answer.startswith(b"HTTP/1.1 200")
+
+    for tick in range(1, 4):
+        assert all(report(number, tick) for number in range(clients)), "each is answered in each turn"
+    assert 0 < len(connections) < most, "as many as may keep theirs do"
+    for sock in connections.values():
+        sock.close()
--- a/tests/world.py
+++ b/tests/world.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import bisect
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -216,7 +217,8 @@
         self._check()
         if self.node in self.state.blind:
             raise OutcomeUnknownError("no answer")
-        found = [r for r in self.state.log if r.stamp > since and r.key.startswith(prefix)]
+        first = bisect.bisect_right(self.state.log, since, key=lambda row: row.stamp)
+        found = [r for r in self.state.log[first:] if r.key.startswith(prefix)]
         return found, self.state.epoch
 
     def lease(self, ttl_s: float) -> int:
@@ -386,6 +388,8 @@
         self.told: dict[str, str] = {}
         self.accepted: set[str] = set()
         self.done_tasks: set[str] = set()
+        self.starters: dict[str, list[Worker]] = {}  # the workers that have ever started each task
+        self.pause_s = 0.05  # how far the clock goes on while a thread of a controller waits
         self.incarnations = 0
         self.cut: set[tuple[str, str]] = set()  # (worker, node) pairs that can't talk
         self.under_way: float | None = None  # since when the answer that a worker now executes was
@@ -434,7 +438,7 @@
                     node.verify_once()
             except (UnavailableError, OutcomeUnknownError, LeaseGoneError):
                 pass
-            self.pass_time(min(seconds, 0.05))
+            self.pass_time(min(seconds, self.pause_s))
 
         def meets(other: str) -> bool:
             return other in self.nodes and other not in self.frozen and not self.mesh_cut & {name, other}
@@ -675,13 +679,16 @@
         """Called at every start: ran_twice, wrong_place, ran_cancelled."""
         part = f"{job_id}/{task}"
         spec = self.specs[job_id]
-        for other in self.workers.values():
-            if other is not worker:
+        for other in self.starters.setdefault(part, []):
+            if other is not worker and self.workers.get(other.name) is other:
                 assert part not in other.running(), f"ran_twice: {part} on {worker.name} and {other.name}"
+        self.starters[part].append(worker)
         assert spec.spot or not worker.spot, f"wrong_place: {part} on a spot machine"
         assert spec.types is None or worker.kind.name in spec.types, f"wrong_place: {part} type"
         assert spec.zone is None or spec.zone == worker.zone, f"wrong_place: {part} zone"
-        zones = [w.zone for w in self.workers.values() for p in w.running() if p.split("/")[0] == job_id]
+        zones = []
+        if spec.one_zone or spec.spread:
+            zones = [w.zone for w in self.workers.values() for p in w.running() if p.split("/")[0] == job_id]
         if spec.one_zone:
             assert len(set(zones)) <= 1, f"wrong_place: {part} not together"
         if spec.spread:
