A relay of thousands of machines passes reports on within the rate, each machine within a lease

Written at once they exceed the changes of a second and are refused each time; and the pause of 0.7 s for each value came to 45 s, longer than a lease.

Change: values go out as the relay's half of the rate allows; the pause is 8 s at the most.

Small relays write as before (9 values at once at 15 a second).

--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -41,6 +41,8 @@
 GATE_WAIT_S = 1.0
 VERIFY_S = 2.0  # how old the owner lets its last read become, with nothing to start
 ADOPT_WAIT_S = 2.0
+RELAY_SHARE = 0.5  # of the changes a second: what a relay may take of them,
+RELAY_BURST = 0.9  # and at once, of those of one second
 COMMANDERS = 3
 HALT_QUEUE = 16_384  # machines with tasks to stop; what is over goes out with the answers to reports
 ENDINGS = 3
@@ -105,6 +107,11 @@
         # One change carries what has happened in a tenth of a second; the rest is left to the other
         # controllers' submissions, each a change of its own.
         self.writes = Budget(rate, max(float(self.limits.txn_ops), rate), clock)
+        # A relay of thousands of machines has more to pass on than the state service takes in a second.
+        self._relayed: list[Put] = []
+        self._relay_writes = Budget(
+            self.limits.write_rps * RELAY_SHARE, self.limits.write_rps * RELAY_BURST, clock
+        )  # fmt: skip
         self._kick = threading.Event()
         self._commit = threading.Event()
         self._verify = threading.Event()
@@ -371,12 +378,17 @@
             self._kick.set()
 
     def _publish(self) -> None:
-        puts = self.relay.publish()
-        if not puts:
-            return
+        """Pass relayed reports on, as much as this controller's share of the changes allows by now."""
+        if not self._relayed:
+            self._relayed = self.relay.publish()
         try:
-            self._put_all(puts)
+            while self._relayed and self._relay_writes.available() >= 1.0:
+                count = min(len(self._relayed), self.limits.txn_ops, int(self._relay_writes.available()))
+                some, self._relayed = self._relayed[:count], self._relayed[count:]
+                self._relay_writes.take(count)
+                self._put_all(some)
         except (UnavailableError, OutcomeUnknownError):
+            self._relayed = []
             self.relay.not_published()
             raise
 
--- a/bayford/coordination/relay.py
+++ b/bayford/coordination/relay.py
@@ -25,6 +25,7 @@
 AGAIN_S = 60.0
 OLD_S = 15.0
 CHANGED_S, UNCHANGED_S = 0.7, 4.0  # how often the reports are passed on
+LONGEST_S = 8.0  # at the most, however many values that takes: the owner must hear machines within a lease
 REMEMBERED = 32_768  # machines, and cancelled jobs, remembered
 
 
@@ -151,7 +152,8 @@
             if not self._reports and not self._keys:
                 return []
             # A relay of many takes more changes, so it speaks less often.
-            if now - self._published < (CHANGED_S * max(1, self._keys) if self._changed else UNCHANGED_S):
+            pause_s = min(LONGEST_S, CHANGED_S * max(1, self._keys)) if self._changed else UNCHANGED_S
+            if now - self._published < pause_s:
                 return []
             self._published = now
             self._changed = False
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,21 +1,25 @@
 """The service at 4,000 machines: a start, a takeover and the loss of 500 machines, and its fixed limits."""
 
 import collections
+import itertools
 import random
 import socket
 import threading
 
 import orjson
-from world import World
+from world import Attempt, World
 
 from bayford.config import Settings
 from bayford.coordination.autoscaler import Deletion, FleetStep, RentalOrder
 from bayford.coordination.cloud_calls import LIST_SHARE, OWNER_SHARE, CloudCalls
 from bayford.coordination.engine import Engine
+from bayford.coordination.relay import reports_in
 from bayford.protocol import workers
 from bayford.protocol.cloud_api import LIST_PAGE, CloudBusyError, Listed, MachinePage
 from bayford.scheduling.model import MachineType
 from bayford.scheduling.policy import Policy
+from bayford.storage import records
+from bayford.storage.store import Row
 from bayford.transport.front import Front
 from bayford.transport.limit import Limit
 from bayford.transport.server import Server
@@ -24,6 +28,7 @@
 CPUS = 4  # of each machine
 LOST = 500
 STEP_S = 0.5
+LEASE_S = 12.0  # of the simulated settings
 REPORT_STEPS = 4  # a worker reports every two seconds, as the settings say
 
 
@@ -189,6 +194,42 @@
     assert all(relay.stale(report) for report in reports), "each of them was here before"
 
 
+def test_a_relay_of_4000_machines_keeps_to_the_rate_and_the_owner_hears_each():
+    """All values at once were refused, again and again, and the pause for so many exceeded a lease."""
+    cluster = World(nodes=2, value_kb=4.0, writes=15.0)
+    relaying = cluster.nodes["n1"]
+    cluster.state.write_rps = 15.0
+    cluster.pass_time(2.0)
+    fleet = [cluster.machine() for _ in range(MACHINES)]
+    heard: dict[str, list[float]] = {worker.name: [] for worker in fleet}
+    seen: dict[str, int] = {}
+    rng = random.Random(1)
+    for _ in range(60):
+        cluster.pass_time(0.5)
+        for worker in fleet[::REPORT_STEPS]:
+            # Its two tasks are others each time.
+            parts = [f"req-{rng.randrange(200):06d}/{rng.randrange(2000)}" for _ in range(2)]
+            worker.tasks = {
+                (part, n): Attempt(part, rng.randrange(10**5), "running") for n, part in enumerate(parts)
+            }
+            relaying.relay.note(worker.report())
+        fleet = fleet[1:] + fleet[:1]
+        cluster.try_(relaying._publish)
+        for key, (value, stamp, _) in cluster.state.rows.items():
+            if key.startswith(records.RELAYS) and seen.get(key) != stamp:
+                seen[key] = stamp
+                for report in reports_in(Row(key, value, stamp), cluster.clock.wall())[1]:
+                    heard[report.machine].append(cluster.clock.now)
+    assert cluster.state.too_many == 0
+    assert len(seen) > 2 * cluster.state.write_rps, "more values than may be written in two seconds"
+    ends = cluster.clock.now
+    gaps = [
+        max(later - before for before, later in itertools.pairwise([*times, ends]))
+        for times in heard.values()
+    ]
+    assert max(gaps) <= LEASE_S
+
+
 def test_searches_for_tasks_to_stop_go_through_a_large_fleet_and_stop_in_proportion():
     cluster = World(value_kb=8.0)
     cluster.pause_s = 0.0005
--- a/tests/world.py
+++ b/tests/world.py
@@ -120,6 +120,10 @@
         self.value_bytes = 1 << 20  # the limits that are in force
         self.txn_ops = 1 << 20
         self.refused = 0  # for their size
+        self.write_rps: float | None = None  # if set, changes above it get 429; bursts of a second's worth
+        self.saved_writes = 0.0
+        self.saved_at = 0.0
+        self.too_many = 0
 
     def expire(self) -> None:
         ripe = [entry for entry in self.due if entry[0] <= self.clock.now and not self.down]
@@ -159,6 +163,19 @@
             return Outcome(self.epoch, tuple(failed))
         return Outcome(self._change(puts) if puts else self.epoch)
 
+    def within_rate(self, changes: int) -> bool:
+        """Whether so many changes are within the rate now."""
+        if self.write_rps is None:
+            return True
+        elapsed = self.clock.now - self.saved_at
+        self.saved_writes = min(self.write_rps, self.saved_writes + elapsed * self.write_rps)
+        self.saved_at = self.clock.now
+        if self.saved_writes < changes:
+            self.too_many += 1
+            return False
+        self.saved_writes -= changes
+        return True
+
     def release(self) -> list[Outcome]:
         """Execute the held transactions, late."""
         held, self.held = self.held, []
@@ -199,6 +216,8 @@
         ):
             self.state.refused += 1
             raise TooLargeError("400")
+        if not self.state.within_rate(len(puts)):
+            raise UnavailableError("429", refused=True)
         if puts and self.node in self.state.hold:
             self.state.hold.discard(self.node)
             self.state.held.append((dict(conditions), list(puts)))
