--- a/bayford/coordination/balancer.py
+++ b/bayford/coordination/balancer.py
@@ -5,7 +5,8 @@
 
 import logging
 
-from bayford.coordination.owner_state import ROOM_KEPT_S, Key, OwnerState
+from bayford.coordination.mover import Mover
+from bayford.coordination.owner_state import Key, OwnerState, Relocation
 from bayford.protocol import workers
 from bayford.scheduling import placement, tempered
 from bayford.scheduling.model import EPS, GANG, SERVICE, Job, Machine
@@ -16,14 +17,15 @@
 class Balancer:
     """The paper's balancer. Called under the lock of the owner's state."""
 
-    def __init__(self, state: OwnerState) -> None:
+    def __init__(self, state: OwnerState, mover: Mover) -> None:
         self._state = state
+        self._mover = mover
 
     def free_room(self, queue: list[Job], now: float) -> None:
         """The paper's balancer: move running tasks off a machine to free the room that a waiting task
         needs there, when it fits on no machine. Moves are stops with a hint where to go on."""
         state = self._state
-        if state.halting:
+        if state.halting or state.uncounted:
             return  # room is being made as it is
         waiting = [
             job
@@ -49,19 +51,17 @@
         for job in waiting[: state.policy.balance_jobs]:
             if free + EPS < job.spec.cpus:
                 continue  # a move shifts room and makes none: so much is not left in the whole fleet
-            hosts = hosts or {m.index: self._host(m) for m in self._known(usable)}
+            hosts = hosts or {m.index: self._host(m) for m in self.known(usable)}
             plan = self._plan(job, left, usable, hosts, now)
             if plan is None:
                 continue
             # Else the task moved away may be first in the queue and come straight back.
             source = state.machines[plan.source]
-            saving = max(source.open[m.key].job.spec.save_s for m in plan.moves)
-            source.kept_for, source.kept_until = job.spec.id, now + ROOM_KEPT_S + saving
-            for move in plan.moves:
-                place = state.machines[plan.source].open[move.key]
-                place.job.hints[place.task] = move.target
-                state.halt(place, place.job.spec.save_s * 1.5)
-            state.moves += len(plan.moves)
+            places = [source.open[move.key] for move in plan.moves]
+            self._mover.keep_room(source.index, job, places)
+            self._mover.move(
+                [Relocation(place, move.target, now) for place, move in zip(places, plan.moves, strict=True)]
+            )
             log.info(
                 "job %s fits nowhere: moving %s off %s (imbalance then %.2f)", job.spec.id,
                 [m.key[0] for m in plan.moves], state.machines_by[plan.source], plan.imbalance,
@@ -95,9 +95,7 @@
         def allowed_(key: Key, target: int) -> bool:
             # A service is not interrupted for work that may wait: only for another of its rank or above.
             moved = state.jobs[(workers.split_task(key[0]) or ("", 0))[0]]
-            return (not moved.standing or spec.priority >= moved.spec.priority) and self._may_move(
-                key, target
-            )
+            return (not moved.standing or spec.priority >= moved.spec.priority) and self.may_move(key, target)
 
         for _, index in sorted(sources)[: state.policy.balance_sources]:
             plan = tempered.free_room(list(hosts.values()), index, need, counts_, allowed_, state.rng)
@@ -105,7 +103,7 @@
                 best = plan
         return best
 
-    def _known(self, usable: list[Machine]) -> list[Machine]:
+    def known(self, usable: list[Machine]) -> list[Machine]:
         """The machines that this round draws from. As the paper's ranks know some of the others (§IV-B), a
         round knows a random part of a large fleet, so that its cost does not grow with it."""
         most = self._state.policy.balance_machines
@@ -121,7 +119,7 @@
         free = (machine.free_cpus, machine.free_gpus, machine.free_mem)
         return tempered.Host(machine.index, machine.cpus, free, items)
 
-    def _may_move(self, key: Key, target: int) -> bool:
+    def may_move(self, key: Key, target: int) -> bool:
         """Whether the task's job allows the target, the task itself gone from where it is."""
         state = self._state
         job_id, task = workers.split_task(key[0]) or ("", 0)
@@ -136,6 +134,7 @@
             return False
         return (
             machine.zone is not None
+            and self._mover.allows(job, task)
             and machine.index not in job.failed_on
             and placement.type_allowed(job, machine)
             and placement.zone_allowed(job, machine.zone, counts)
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -366,7 +366,8 @@
             as_of = self.mirror.as_of
             read_at = self.mirror.revision
             attempt = self.mirror.with_ledger(lambda ledger: ledger.next_attempt)
-            self.engine.adopt(self.mirror.open_jobs(), attempt, late, view.stamp, view.token, as_of)
+            moves = {row.key[len(records.MOVES) :]: row.value for row in self.mirror.below(records.MOVES)}
+            self.engine.adopt(self.mirror.open_jobs(), attempt, late, view.stamp, view.token, as_of, moves)
             adopted, self._adopted = self._adopted, threading.Event()
             adopted.set()
             # Rows that came in while the records were being read were told to no owner: look again. What
--- /dev/null
+++ b/bayford/coordination/mover.py
@@ -0,0 +1,75 @@
+"""Moves of running tasks: stops with a hint where to go on.
+
+With load spread on, a move is counted against the restart budget of its task's class before the task is
+stopped, and the count is durable first, so that no owner after this one allows more.
+"""
+
+import logging
+from collections.abc import Sequence
+
+from bayford.coordination.owner_state import ROOM_KEPT_S, OwnerState, Relocation
+from bayford.scheduling.model import Job, Placement
+
+log = logging.getLogger("bayford.engine")
+
+SAVE_MARGIN = 1.5  # of the time that a task says it needs to save
+FORGET_S = 5.0  # a move whose count became durable later than this is not begun: the picture has changed
+
+
+class Mover:
+    """Begins moves. Called under the lock of the owner's state."""
+
+    def __init__(self, state: OwnerState) -> None:
+        self._state = state
+        state.on_moves_counted = self.begin
+
+    def allows(self, job: Job, task: int) -> bool:
+        """Whether the task may be restarted by a move once more."""
+        return not self._state.policy.spread or self._state.restarts.allows(
+            job.spec.id, job.spec.job_class, task
+        )
+
+    def move(self, moves: Sequence[Relocation]) -> None:
+        """Have tasks go on elsewhere, at once or when their counts are durable."""
+        state = self._state
+        if not state.policy.spread:
+            self.begin(moves)
+            return
+        for move in moves:
+            job = move.place.job
+            state.restarts.note(job.spec.id, move.place.task)
+            state.uncounted.setdefault(job.spec.id, []).append(move)
+
+    def begin(self, moves: Sequence[Relocation]) -> None:
+        """Stop the tasks, as far as the moves still make sense."""
+        for move in moves:
+            why_not = self._obstacle(move)
+            if why_not:
+                log.info("%s is not moved: %s", move.place.part, why_not)
+                continue
+            job = move.place.job
+            job.hints[move.place.task] = move.target
+            saves = job.spec.checkpoint_s > 0
+            self._state.halt(move.place, job.spec.save_s * SAVE_MARGIN if saves else 0.0)
+            self._state.moves += 1
+
+    def _obstacle(self, move: Relocation) -> str:
+        """Why the move can't begin any more, empty if it can."""
+        state = self._state
+        place = move.place
+        if place.job.open.get(place.task) is not place:
+            return "it has ended or its machine is gone"
+        if place.halting or place.job.cancelled:
+            return "it is being stopped"
+        target = state.machines.get(move.target)
+        if target is None or not target.usable:
+            return "its target takes no work any more"
+        if state.clock() - move.decided_at > FORGET_S:
+            return "its count took long to be written"
+        return ""
+
+    def keep_room(self, index: int, job: Job, moved: Sequence[Placement]) -> None:
+        """Keep a machine's room for a job while these tasks save."""
+        machine = self._state.machines[index]
+        saving = max((place.job.spec.save_s for place in moved), default=0.0)
+        machine.kept_for, machine.kept_until = job.spec.id, self._state.clock() + ROOM_KEPT_S + saving
--- a/bayford/coordination/owner_state.py
+++ b/bayford/coordination/owner_state.py
@@ -7,8 +7,9 @@
 import math
 import random
 import threading
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 from typing import Any, TypeVar
 
 from bayford.clock import NEVER
@@ -31,6 +32,7 @@
 from bayford.scheduling.policy import Policy
 from bayford.scheduling.quota import Share
 from bayford.scheduling.room_index import RoomIndex
+from bayford.spread.restarts import RestartBudget, UnreadableCountsError
 from bayford.storage import records
 from bayford.storage.ledger import Ledger, Progress, RowMaker
 from bayford.storage.store import Put
@@ -42,6 +44,15 @@
 TRANSACTION_BYTES = 48 * 1024  # of the 64 KiB that the state service takes, rows and records beside them
 
 
+@dataclass(frozen=True, slots=True)
+class Relocation:
+    """A running task that is to go on elsewhere, once it is durable that it has been moved once more."""
+
+    place: Placement
+    target: int
+    decided_at: float
+
+
 @dataclass(slots=True)
 class Batch:
     """One transaction of the group commit and what it makes durable."""
@@ -52,6 +63,8 @@
     tasks: dict[str, set[int]] = field(default_factory=dict)
     placements: list[Placement] = field(default_factory=list)
     over: list[str] = field(default_factory=list)
+    moves: dict[str, list[Relocation]] = field(default_factory=dict)  # by job
+    dropped_counts: list[str] = field(default_factory=list)  # jobs whose counts of moves are deleted
 
 
 T = TypeVar("T")
@@ -88,6 +101,8 @@
         self.on_ready: Callable[[int], None] = lambda machine: None
         self.on_halt: Callable[[int], None] = lambda machine: None
         self.on_gone: Callable[[int], None] = lambda machine: None
+        # The counts of these moves are durable: they may begin.
+        self.on_moves_counted: Callable[[list[Relocation]], None] = lambda moves: None
         # Runs something short on the mirror's ledger.
         self.with_ledger: Callable[[Callable[[Ledger], Any]], Any] = lambda call: None
         self.refused: dict[fleet.Option, float] = {}
@@ -151,6 +166,12 @@
         self.images_at = NEVER
         self.local_images: frozenset[int] = frozenset()
         self.moves = 0
+        self.restarts = RestartBudget(
+            self.policy.spread_restarts, self.policy.spread_restarts_default, self.limits.value_bytes
+        )  # fmt: skip
+        self.uncounted: dict[str, list[Relocation]] = {}  # moves whose counts have still to be written
+        self.old_counts: dict[str, None] = {}  # jobs that are over and whose counts may be deleted
+        self.spread_at = NEVER
         self.dear_serves = True
 
     def adopt(
@@ -161,6 +182,7 @@
         term: int = 0,
         token: int = 0,
         as_of: float = NEVER,
+        moves: Mapping[str, Any] = MappingProxyType({}),
     ) -> None:
         """Become owner: rebuild everything from the records. Nothing is placed before this is complete.
 
@@ -168,6 +190,7 @@
         steers choices, so that it is late, or missing, does no harm. `term` is the stamp of the map that
         made us owner: every write names it. Never the stamp of the newest map seen, for that may already
         be another's, and our writes would pass under it. `as_of`: when the read of all that was sent.
+        `moves`: what is stored of each job's restarts by moves.
         """
         with self.lock:
             self._clear()
@@ -180,10 +203,21 @@
             self.verified_at = as_of
             for record, stamp, progress in found:
                 self._load(record, stamp, now, progress)
+            self._load_restarts(moves)
             self.inherited = bool(self.jobs or self.late_picture)
             self.complete = True
             log.info("owner of %d open jobs on %d machines", len(self.jobs), len(self.machines))
 
+    def _load_restarts(self, moves: Mapping[str, Any]) -> None:
+        for job_id, value in moves.items():
+            if job_id not in self.jobs:
+                self.old_counts[job_id] = None
+                continue
+            try:
+                self.restarts.load(job_id, value)
+            except UnreadableCountsError as bad:
+                log.error("%s; nothing of it is moved", bad)
+
     def depose(self) -> None:
         """No longer owner: drop every decision."""
         with self.lock:
@@ -388,6 +422,7 @@
                 batch.puts.append(Put(records.key(name), value))
             makers[-1].over(name)
             batch.over.append(name)
+        self._add_counts(batch, ops - len(makers) - len(batch.puts))
         makers[0].snapshots(batch.tasks)
         for row, (slot, stamp) in zip(makers, ledger.slots(len(makers)), strict=True):
             batch.conditions[slot] = stamp
@@ -402,6 +437,16 @@
             del self.ending[name]
         return batch
 
+    def _add_counts(self, batch: Batch, ops: int) -> None:
+        """The counts of moves that are to begin, and deletions of those that nobody needs any more."""
+        for job_id in list(self.uncounted)[: max(0, ops)]:
+            batch.moves[job_id] = self.uncounted.pop(job_id)
+            batch.puts.append(Put(records.moves_key(job_id), self.restarts.encode(job_id)))
+        for job_id in list(self.old_counts)[: max(0, ops - len(batch.moves))]:
+            del self.old_counts[job_id]
+            batch.dropped_counts.append(job_id)
+            batch.puts.append(Put(records.moves_key(job_id), None))
+
     def committed(self, batch: Batch) -> None:
         """The batch is durable: its placements may start, its jobs may be told."""
         with self.lock:
@@ -414,9 +459,11 @@
                     place.durable = True
                     wake.add(place.machine)
             for name in batch.over:
-                self.jobs.pop(name, None)
+                self._drop_job(name)
             for index in wake:
                 self.on_ready(index)
+            for moves in batch.moves.values():
+                self.on_moves_counted(moves)
 
     def not_committed(self, batch: Batch) -> None:
         """Refused, conflicting or unanswered: everything in it is to be written again.
@@ -435,6 +482,18 @@
             for name in batch.over:
                 if name in self.jobs:
                     self.ending[name] = None
+            for name, moves in batch.moves.items():
+                if name in self.jobs:
+                    self.uncounted.setdefault(name, []).extend(moves)
+            self.old_counts.update(dict.fromkeys(batch.dropped_counts))
+
+    def _drop_job(self, name: str) -> None:
+        """The job is over and closed in the ledger."""
+        for held in (self.jobs, self.dirty, self.ending, self.uncounted):
+            held.pop(name, None)
+        if self.restarts.knows(name):
+            self.restarts.forget(name)
+            self.old_counts[name] = None
 
     def verified(self, as_of: float, term: int) -> None:
         """A read sent at `as_of` showed the map of this term, and all cancellations till then are known."""
@@ -497,8 +556,7 @@
             job.stamp = stamp
             if record.finished:
                 # Our own write, whose answer was lost: the rows beside it closed the job as well.
-                for held in (self.jobs, self.dirty, self.ending):
-                    held.pop(spec.id, None)
+                self._drop_job(spec.id)
             elif record.cancelled and not job.cancelled:
                 self._cancel(job, record.cancelled)
 
@@ -535,7 +593,7 @@
 
     def has_news(self) -> bool:
         """Whether something waits to be written."""
-        return bool(self.dirty or self.ending)
+        return bool(self.dirty or self.ending or self.uncounted)
 
     def endings(self) -> int:
         """How many jobs wait to be called done, or closed."""
--- a/bayford/coordination/scheduling_round.py
+++ b/bayford/coordination/scheduling_round.py
@@ -8,11 +8,14 @@
 
 from bayford.config import Settings
 from bayford.coordination.balancer import Balancer
+from bayford.coordination.load_spreader import LoadSpreader
+from bayford.coordination.mover import Mover
 from bayford.coordination.preemptor import Preemptor
 from bayford.coordination.worker_reports import WorkerReports
 from bayford.scheduling import placement
 from bayford.scheduling.model import EPS, GANG, URGENT, Job, Machine
 from bayford.scheduling.policy import Policy
+from bayford.spread.score import Choice
 
 log = logging.getLogger("bayford.engine")
 
@@ -41,7 +44,9 @@
     ) -> None:
         super().__init__(settings, policy, clock, wall, rng)
         self.preemptor = Preemptor(self)
-        self.balancer = Balancer(self)
+        self.mover = Mover(self)
+        self.balancer = Balancer(self, self.mover)
+        self.spreader = LoadSpreader(self, self.balancer, self.mover)
 
     def round(self) -> None:
         """Place what waits, then make room for what may push others out."""
@@ -54,6 +59,7 @@
             queue = self._queue(now)
             self.preemptor.make_room_under_limits(now)
             if not queue:
+                self.spreader.step(False, now)
                 return
             self._place_all(queue, now)
             waiting = list(dict.fromkeys(entry.job for entry in queue))
@@ -61,6 +67,7 @@
             if now - self.balanced_at >= self.policy.balance_every_s:
                 self.balanced_at = now
                 self.balancer.free_room(waiting, now)
+            self.spreader.step(any(job.waiting for job in waiting), now)
 
     def _place_all(self, queue: list[QueueEntry], now: float) -> None:
         """Work of a round follows the room there is: when that is gone, nobody else is asked.
@@ -232,6 +239,9 @@
         wanted = min(count, len(job.waiting), share.room(job.spec))
         if wanted <= 0:
             return
+        if self.policy.spread:
+            self._place_by_cost(job, wanted, may_take, now)
+            return
         machines = self.room.best(job, wanted, may_take, with_image_only)
         on_turn = self._has_turn(job, now)
         placed = 0
@@ -245,6 +255,27 @@
         if placed:
             log.debug("job %s: placed %d, %d wait", job.spec.id, placed, len(job.waiting))
 
+    def _place_by_cost(self, job: Job, count: int, may_take: Callable[[Machine], bool], now: float) -> None:
+        """The same where load is spread: each task where it costs least, with those before it booked."""
+        chooser = self.spreader.chooser(job, count, may_take)
+        on_turn = self._has_turn(job, now)
+        choices: list[Choice] = []
+        held: dict[int, bool] = {}
+        for _ in range(count):
+            machine = self._hinted(job, may_take)
+            if machine is None:
+                choice = chooser.next()
+                if choice is None:
+                    job.why_waiting = NO_ROOM
+                    break
+                machine = choice.machine
+                held.setdefault(machine.index, machine.images.get(job.image, False))
+                choices.append(choice)
+            self._put(job, job.waiting.pop(), machine, now, on_turn)
+            if choices and choices[-1].machine is machine:
+                chooser.placed(choices[-1])
+        self.spreader.log_choices(job, choices, held)
+
     def _hinted(self, job: Job, may_take: Callable[[Machine], bool]) -> Machine | None:
         """The machine that the balancer chose for the next task, if there is room on it still."""
         hint = job.hints.pop(job.waiting[-1], None)
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -1,6 +1,7 @@
 """Everything about scheduling that an operator may set, with its defaults."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,3 +51,16 @@
     balance_jobs: int = 4
     balance_machines: int = 1024
     summary_every_s: float = 30.0
+    # load spread
+    spread: bool = False
+    spread_fetch_weight: float = 1.0
+    spread_load_s: float = 10.0
+    spread_affinity_s: float = 0.5
+    spread_candidates: int = 256
+    spread_every_s: float = 5.0
+    spread_threshold: float = 2.0
+    spread_rest_s: float = 60.0
+    spread_restarts_default: int = 1
+    spread_restarts: Mapping[str, int] = field(default_factory=dict)
+    spread_lossy: tuple[str, ...] = ()
+    extra_classes: tuple[str, ...] = ()
--- a/bayford/scheduling/room_index.py
+++ b/bayford/scheduling/room_index.py
@@ -27,7 +27,8 @@
 
 @dataclass(slots=True)
 class _Bucket:
-    free_cpus: float  # of the fullest machine in it, unrounded
+    free_cpus: float  # of the first machine in it, unrounded
+    free_share: float  # the same against all of its CPUs
     indices: list[int] = field(default_factory=list)  # of machines, ascending
 
 
@@ -82,7 +83,8 @@
     def _put_in(self, machine: Machine, key: BucketKey) -> None:
         bucket = self._buckets.get(key)
         if bucket is None:
-            bucket = self._buckets[key] = _Bucket(machine.free_cpus)
+            share = machine.free_cpus / max(machine.cpus, EPS)
+            bucket = self._buckets[key] = _Bucket(machine.free_cpus, share)
         bisect.insort(bucket.indices, machine.index)
         self._keys[machine.index] = key
         self.machines[machine.index] = machine
@@ -114,6 +116,24 @@
                     break
         return found
 
+    def least_loaded(self, job: Job, count: int, may_take: Callable[[Machine], bool]) -> list[Machine]:
+        """Machines with room for a task of the job to choose from by load: up to `count` of the least loaded
+        and as many of those that hold the job's image or fetch it."""
+        found = {}
+        for machine in self._in_order(job, emptiest=True):
+            if may_take(machine):
+                found[machine.index] = machine
+                if len(found) == count:
+                    break
+        holders = (
+            machine
+            for machine in map(self.machines.get, self._holders.get(job.image, ()))
+            if machine is not None and machine.has_room(job.spec) and may_take(machine)
+        )
+        for machine in heapq.nsmallest(count, holders, key=lambda m: (-m.free_cpus / m.cpus, m.index)):
+            found[machine.index] = machine
+        return list(found.values())
+
     def _holding(self, job: Job, count: int, may_take: Callable[[Machine], bool]) -> list[Machine]:
         """The best machines that hold or fetch the job's image."""
         holders = self._holders.get(job.image)
@@ -138,11 +158,11 @@
                 break
         return (there + coming)[:count]
 
-    def _in_order(self, job: Job) -> Iterator[Machine]:
-        """All machines with room for a task of the job by the score, images aside."""
+    def _in_order(self, job: Job, emptiest: bool = False) -> Iterator[Machine]:
+        """All machines with room for a task of the job by the score, images aside; or the emptiest first."""
         spec = job.spec
         fitting = [
-            (not key.spot, bucket.free_cpus, bucket)
+            (-bucket.free_share if emptiest else float(not key.spot), bucket.free_cpus, bucket)
             for key, bucket in self._buckets.items()
             if bucket.free_cpus + EPS >= spec.cpus
             and (spec.spot or not key.spot)
--- a/bayford/scheduling/tempered.py
+++ b/bayford/scheduling/tempered.py
@@ -145,13 +145,19 @@
 
 
 def transfer(
-    source: Host, others: Sequence[Host], need: Room, budget: int, allowed: Allowed, rng: random.Random
+    source: Host,
+    others: Sequence[Host],
+    excess: float,
+    relieved: Callable[[Host], bool],
+    budget: int,
+    allowed: Allowed,
+    rng: random.Random,
 ) -> list[Move]:
-    """Algorithm 2, TRANSFER, on hosts that it changes: until the room is there or the tasks are through."""
+    """Algorithm 2, TRANSFER, on hosts that it changes: until the source is relieved of its excess, the budget
+    is spent, or its tasks are through."""
     moves: list[Move] = []
-    excess = max(0.0, (need[0] - source.free[0]) / source.cpus) if source.cpus > 0 else 0.0
     for item in order_fewest(source.items, source.share, excess):
-        if fits(need, source.free) or len(moves) >= budget:
+        if relieved(source) or len(moves) >= budget:
             break
         cmf = build_cmf([host.load for host in others])  # recomputed: the loads have moved
         if not cmf:
@@ -170,7 +176,8 @@
     return moves
 
 
-def _copy(hosts: Iterable[Host]) -> list[Host]:
+def copy_hosts(hosts: Iterable[Host]) -> list[Host]:
+    """Hosts that a trial may change."""
     return [Host(h.index, h.cpus, h.free, h.items) for h in hosts]
 
 
@@ -179,17 +186,22 @@
 ) -> Plan | None:
     """Algorithm 3: several trials of iterations from the same state; the best imbalance of those that
     free the room is the plan. None: no trial freed it."""
+
+    def has_room(host: Host) -> bool:
+        return fits(need, host.free)
+
     best: Plan | None = None
     for _ in range(counts.trials):
-        trial = _copy(hosts)
+        trial = copy_hosts(hosts)
         here = next(h for h in trial if h.index == source)
         others = [h for h in trial if h.index != source]
         moves: list[Move] = []
         for _ in range(counts.iterations):
-            moves += transfer(here, others, need, counts.moves - len(moves), allowed, rng)
-            if fits(need, here.free):
+            excess = max(0.0, (need[0] - here.free[0]) / here.cpus) if here.cpus > 0 else 0.0
+            moves += transfer(here, others, excess, has_room, counts.moves - len(moves), allowed, rng)
+            if has_room(here):
                 break
-        if moves and fits(need, here.free):
+        if moves and has_room(here):
             left = imbalance(h.load for h in trial)
             if best is None or left < best.imbalance:
                 best = Plan(source, tuple(moves), left)
--- a/bayford/script.py
+++ b/bayford/script.py
@@ -13,6 +13,7 @@
 import dataclasses
 import math
 import re
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
@@ -36,9 +37,15 @@
         "report_s": facts.workers.report_s,
         "lease_s": facts.workers.lease_s,
         "cancel_s": facts.workers.cancel_s,
+        "classes": known_classes(settings),
     }
 
 
+def known_classes(settings: Settings) -> list[str]:
+    """The classes of jobs that the deployment's aims name."""
+    return sorted({o.job_class for o in settings.facts.objectives if o.job_class is not None})
+
+
 def evaluate(text: str, name: str, settings: Settings) -> Policy:
     """The policy that the script's globals make; SettingsError names file and line."""
     if len(text.encode()) > MAX_BYTES:
@@ -65,11 +72,48 @@
     values: dict[str, Any] = {}
     for field in fields:
         before, value = getattr(known, field), module[field]
-        good = isinstance(value, bool) if isinstance(before, bool) else _number(value)
-        if not good:
-            raise SettingsError(f"{name}: {field}: {value!r} is not a {type(before).__name__}, 0 or more")
-        values[field] = type(before)(value)
-    return Policy(**values)
+        values[field] = _checked(f"{name}: {field}", before, value)
+    policy = Policy(**values)
+    _check_classes(name, policy, settings)
+    if policy.spread_threshold < 1.0:
+        raise SettingsError(f"{name}: spread_threshold: {policy.spread_threshold} is below the average, 1")
+    return policy
+
+
+def _checked(where: str, before: Any, value: Any) -> Any:
+    """The value of a setting whose default is `before`."""
+    if isinstance(before, Mapping):
+        if not isinstance(value, Mapping) or not all(isinstance(key, str) for key in value):
+            raise SettingsError(f"{where}: {value!r} is not a dict by class")
+        return {key: _whole(f"{where}[{key!r}]", count) for key, count in value.items()}
+    if isinstance(before, tuple):
+        if not isinstance(value, list | tuple) or not all(isinstance(word, str) for word in value):
+            raise SettingsError(f"{where}: {value!r} is not a list of names")
+        return tuple(value)
+    if isinstance(before, bool):
+        if not isinstance(value, bool):
+            raise SettingsError(f"{where}: {value!r} is not a bool")
+        return value
+    if isinstance(before, int):
+        return _whole(where, value)
+    if not _number(value):
+        raise SettingsError(f"{where}: {value!r} is not a {type(before).__name__}, 0 or more")
+    return type(before)(value)
+
+
+def _whole(where: str, value: Any) -> int:
+    if not _number(value) or value != int(value):
+        raise SettingsError(f"{where}: {value!r} is not a whole number, 0 or more")
+    return int(value)
+
+
+def _check_classes(name: str, policy: Policy, settings: Settings) -> None:
+    """Settings by class name classes of the deployment: those of its aims, and `extra_classes`."""
+    known = {*known_classes(settings), *policy.extra_classes}
+    for field, named in (("spread_restarts", policy.spread_restarts), ("spread_lossy", policy.spread_lossy)):
+        for job_class in named:
+            if job_class not in known:
+                raise SettingsError(f"{name}: {field}: {job_class!r} is no class of this deployment")
 
 
 def _number(value: Any) -> bool:
--- a/bayford/storage/records.py
+++ b/bayford/storage/records.py
@@ -22,6 +22,7 @@
     "b/layout"  # the size of a value that the ledger was laid out for; the first release knows no such key
 )
 MAP = "b/map"
+MOVES = "b/moves/"  # restarts by moves, a key for each job that was ever moved; from release 3 on
 MEMBERS = "b/member/"
 RELAYS = "b/relay/"
 SUMMARIES = "b/sum/"
@@ -60,6 +61,11 @@
     return JOBS + job_id
 
 
+def moves_key(job_id: str) -> str:
+    """The key of the counts of a job's restarts by moves."""
+    return MOVES + job_id
+
+
 def encode(record: Record) -> Any:
     """The value of a record."""
     return msgspec.to_builtins(record)
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -53,3 +53,17 @@
 # balance_jobs = 4           # waiting jobs that moves are looked for in one round
 # balance_machines = 1024    # machines that a round draws targets from; of a larger fleet, a random part
 # summary_every_s = 30.0     # a controller's summary goes to the state service this often
+
+# --- load spread (docs/load-spread.md); off here: docs/load-spread.md has the figures that decided it
+# spread = False             # place by cost, and move running work off machines far above the average
+# spread_fetch_weight = 1.0  # what a second of fetching an image counts when a machine is chosen
+# spread_load_s = 10.0       # what a whole machine's load above the fleet's average counts, in seconds
+# spread_affinity_s = 0.5    # at most so much between machines that only rendezvous hashing tells apart
+# spread_candidates = 256    # machines that a job chooses from: so many of the least loaded, and of those with its image
+# spread_every_s = 5.0       # running work is rebalanced this often at most
+# spread_threshold = 2.0     # off machines above so many times the average load; 1 or more
+# spread_rest_s = 60.0       # a task that began, or was moved, less than this ago stays
+# spread_restarts_default = 1  # how often moves may restart a task, whoever owns it, by class:
+# spread_restarts = {}       # {"CLASS": 2, ...}
+# spread_lossy = []          # classes whose tasks may be moved although they can't save
+# extra_classes = []         # classes of jobs that no aim of the deployment names, so that settings may
--- a/tests/test_tempered.py
+++ b/tests/test_tempered.py
@@ -87,7 +87,7 @@
     for _ in range(10):
         before = max(h.load for h in hosts)
         others = [h for h in hosts if h is not source]
-        moves = tempered.transfer(source, others, (source.cpus, 0.0, source.cpus), 1, ANY, rng)
+        moves = tempered.transfer(source, others, source.load, lambda host: False, 1, ANY, rng)
         assert max(h.load for h in hosts) <= before + 1e-9
         if not moves:
             break
