--- a/bayford/coordination/scheduling_round.py
+++ b/bayford/coordination/scheduling_round.py
@@ -82,7 +82,13 @@
             if not self.room:
                 job.why_waiting = NO_ROOM
                 continue
-            picky = job.image in local and job.spec.priority < URGENT and job.spec.shape != GANG
+            # Where load is spread, the cost of a fetch decides against the load instead.
+            picky = (
+                not self.policy.spread
+                and job.image in local
+                and job.spec.priority < URGENT
+                and job.spec.shape != GANG
+            )
             before = len(job.waiting)
             self._place(job, count, now, with_image_only=picky)
             count -= before - len(job.waiting)
@@ -215,13 +221,14 @@
         # The cheap machines alone are in time: let the dear ones run empty and go back.
         cheap_only = not self.dear_serves and job.spec.priority < URGENT and job.spec.spot and job.cheap_hosts
 
-        def may_take(machine: Machine) -> bool:
-            return (
-                placement.eligible(job, machine, counts, now)
-                and (not cheap_only or machine.spot or machine.index in self.standing)
-                and (not with_image_only or job.image in machine.images)
+        def open_to_job(machine: Machine) -> bool:
+            return placement.eligible(job, machine, counts, now) and (
+                not cheap_only or machine.spot or machine.index in self.standing
             )
 
+        def may_take(machine: Machine) -> bool:
+            return open_to_job(machine) and (not with_image_only or job.image in machine.images)
+
         if job.spec.shape == GANG:
             self._place_gang(job, [m for m in self.room.machines.values() if may_take(m)], now)
         elif job.standing:
@@ -229,7 +236,7 @@
         elif zoned:
             self._place_zoned(job, count, [m for m in self.room.machines.values() if may_take(m)], now)
         else:
-            self._place_array(job, count, may_take, with_image_only, now)
+            self._place_array(job, count, open_to_job, with_image_only, now)
 
     def _place_array(
         self, job: Job, count: int, may_take: Callable[[Machine], bool], with_image_only: bool, now: float
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,412 @@
+"""Load spread: the pure decisions over random fleets, and the owner's moves in the simulated cluster."""
+
+import dataclasses
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from test_room_index import CPUS, indexed, jobs, machines, make_job
+from test_stories import quiet, running, wait
+from world import World
+
+from bayford.scheduling import placement, tempered
+from bayford.scheduling.model import Machine, MachineType, Placement
+from bayford.scheduling.policy import Policy
+from bayford.scheduling.tempered import Counts, Host, Item
+from bayford.spread.picture import picture
+from bayford.spread.rebalance import rebalance
+from bayford.spread.restarts import RestartBudget, UnreadableCountsError
+from bayford.spread.score import Chooser, Weights, rendezvous
+from bayford.storage import records
+
+SPREAD = Policy(hold_s=0.0, hold_idle_s=0.0, spread=True, spread_rest_s=20.0, extra_classes=("sweep",))
+PACKED = Policy(hold_s=0.0, hold_idle_s=0.0)
+FETCH_S = 2.0  # of an image by a machine that has its link to itself
+
+
+# -- choosing machines
+
+
+def choose(job, fleet: list[Machine], count: int, weights: Weights) -> list[Machine]:
+    """Machines for so many tasks, each booked before the next is chosen."""
+    average = 1.0 - sum(m.free_cpus for m in fleet) / sum(m.cpus for m in fleet)
+    chooser = Chooser(job, fleet, average, weights, lambda machine: FETCH_S)
+    out = []
+    while len(out) < count and (choice := chooser.next()) is not None:
+        choice.machine.take(job.spec)
+        choice.machine.images.setdefault(job.image, False)
+        out.append(choice.machine)
+        chooser.placed(choice)
+    return out
+
+
+def idle_machines(count: int) -> list[Machine]:
+    return [
+        Machine(
+            n, f"vm-{n}", type=0, zone=n % 2, spot=True, cpus=CPUS, echoed=True, free_cpus=CPUS, free_mem=64.0
+        )
+        for n in range(count)
+    ]  # fmt: skip
+
+
+@given(st.lists(machines, min_size=1, max_size=30), jobs, st.integers(1, 20))
+def test_no_choice_exceeds_a_resource_or_goes_where_the_job_may_not(fleet, job, count):
+    room = indexed(fleet)
+
+    def may_take(machine: Machine) -> bool:
+        return placement.eligible(job, machine, {}, 0.0)
+
+    candidates = room.least_loaded(job, count, may_take)
+    chosen = choose(job, candidates, count, Weights()) if candidates else []
+    assert all(may_take(machine) for machine in chosen)
+    assert all(m.free_cpus >= -1e-6 and m.free_mem >= -1e-6 for m in fleet)
+    fits = [m for m in fleet if may_take(m) and m.has_room(job.spec)]
+    assert len(chosen) == count or not fits, "room that is left is used"
+
+
+@pytest.mark.parametrize(
+    ("weights", "holder_wins"),
+    [
+        (Weights(load_s=0.0), True),  # locality alone
+        (Weights(fetch=0.0), False),  # balance alone
+        (
+            Weights(fetch=1.0, load_s=10.0),
+            False,
+        ),  # a fetch of 2 s is cheaper than three quarters of a machine
+        (Weights(fetch=10.0, load_s=10.0), True),
+    ],
+)
+def test_a_busy_machine_with_the_image_against_an_idle_one(weights, holder_wins):
+    busy, idle = idle_machines(2)
+    busy.images[1] = True
+    busy.free_cpus = 0.25 * CPUS
+    chosen = choose(make_job(1, 1.0, 1.0, None, True), [busy, idle], 1, weights)
+    assert chosen == [busy if holder_wins else idle]
+
+
+def test_equal_load_and_one_hot_image():
+    """The machines with the image fill up to where a fetch costs less than the load, not to the brim."""
+    fleet = idle_machines(20)
+    for machine in fleet[:3]:
+        machine.images[1] = True
+    job = make_job(1, 1.0, 1.0, None, True, tasks=40)
+    choose(job, fleet, 40, Weights())
+    loads = [1.0 - m.free_cpus / m.cpus for m in fleet]
+    assert max(loads) <= 2.0 * sum(loads) / len(loads)
+    assert min(loads[:3]) > sum(loads[3:]) / len(loads[3:]), "yet they get more than the others"
+
+
+def test_all_images_cold_after_a_zone_returns():
+    """Nobody holds anything: no machine fetches for all, and the same ones are chosen again and again."""
+    first = choose(make_job(1, 1.0, 1.0, None, True), idle_machines(12), 6, Weights())
+    again = choose(make_job(1, 1.0, 1.0, None, True), idle_machines(12), 6, Weights())
+    assert [m.name for m in first] == [m.name for m in again]
+    assert len({m.name for m in first}) >= 2
+
+
+@given(st.sets(st.integers(0, 500), min_size=2, max_size=30), st.text(max_size=8))
+def test_the_machine_of_an_image_changes_only_with_the_machine(numbers, image):
+    names = [f"vm-{n}" for n in sorted(numbers)]
+    best = max(names, key=lambda name: rendezvous(image, name))
+    for gone in names:
+        if gone != best:
+            left = [name for name in names if name != gone]
+            assert max(left, key=lambda name: rendezvous(image, name)) == best
+
+
+# -- plans of moves
+
+
+@st.composite
+def hosts(draw) -> list[Host]:
+    out = []
+    for index in range(draw(st.integers(2, 8))):
+        cpus = draw(st.sampled_from([4.0, 8.0]))
+        tasks = draw(st.lists(st.sampled_from([0.5, 1.0, 2.0]), max_size=int(cpus / 2)))
+        items = [Item((f"req-{index}/{n}", 1), (need, 0.0, need)) for n, need in enumerate(tasks)]
+        free = cpus - sum(tasks)
+        out.append(Host(index, cpus, (free, 0.0, free), items))
+    return out
+
+
+@given(hosts(), st.integers(0, 6), st.sampled_from([1.0, 1.5, 2.0]), st.integers(0, 1000))
+def test_a_plan_moves_each_task_once_within_the_budget_and_lowers_the_highest_load(
+    fleet, most, threshold, seed
+):
+    before = {host.index: (host.free, list(host.items)) for host in fleet}
+    plan = rebalance(fleet, threshold, Counts(4, 3, most), lambda key, target: True, random.Random(seed))
+    assert {host.index: (host.free, host.items) for host in fleet} == before, "trials change nothing"
+    if plan is None:
+        return
+    assert 0 < len(plan.relocations) <= most
+    keys = [relocation.key for relocation in plan.relocations]
+    assert len(set(keys)) == len(keys), "no task goes from A to B and on, or back"
+    loads = {host.index: host.load for host in fleet}
+    by_index = {host.index: host for host in fleet}
+    for relocation in plan.relocations:
+        source, target = by_index[relocation.source], by_index[relocation.target]
+        need = next(item.need for item in before[source.index][1] if item.key == relocation.key)
+        assert tempered.criterion(need[0] / target.cpus, loads[source.index], loads[target.index])
+        assert tempered.fits(need, target.free)
+        target.free, source.free = tempered.sub(target.free, need), tempered.add(source.free, need)
+        loads = {host.index: host.load for host in fleet}
+    assert abs(tempered.imbalance(loads.values()) - plan.after) < 1e-6
+    assert plan.after < plan.before
+
+
+@given(hosts(), st.integers(0, 50))
+def test_moves_come_to_an_end(fleet, seed):
+    """No two moves chase each other: applied plan after plan, the fleet settles."""
+    rng = random.Random(seed)
+    by_index = {host.index: host for host in fleet}
+    for _ in range(200):
+        plan = rebalance(fleet, 1.0, Counts(4, 3, 2), lambda key, target: True, rng)
+        if plan is None:
+            break
+        for relocation in plan.relocations:
+            source, target = by_index[relocation.source], by_index[relocation.target]
+            item = next(i for i in source.items if i.key == relocation.key)
+            source.items.remove(item)
+            target.items.append(item)
+            source.free, target.free = (
+                tempered.add(source.free, item.need),
+                tempered.sub(target.free, item.need),
+            )
+    else:
+        pytest.fail("moves go on for ever")
+
+
+def test_where_no_move_helps_none_is_made():
+    one_each = [Host(n, 4.0, (3.0, 0.0, 3.0), [Item((f"req-{n}/0", 1), (1.0, 0.0, 1.0))]) for n in range(4)]
+    lone = [Host(n, 4.0, (4.0, 0.0, 4.0), []) for n in range(3)]
+    lone.append(Host(3, 4.0, (0.0, 0.0, 0.0), [Item(("req-9/0", 1), (4.0, 0.0, 4.0))]))
+    for fleet in (one_each, lone):
+        for seed in range(20):
+            assert rebalance(fleet, 1.0, Counts(4, 3, 4), lambda k, t: True, random.Random(seed)) is None
+
+
+# -- restart budgets
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.booleans()), max_size=40), st.integers(0, 3))
+def test_no_task_is_restarted_more_often_than_allowed_whoever_counts(events, limit):
+    budget = RestartBudget({"sweep": limit}, 9)
+    moved = dict.fromkeys(range(4), 0)
+    for task, takeover in events:
+        if takeover and budget.knows("req-1"):
+            stored = budget.encode("req-1")
+            budget = RestartBudget({"sweep": limit}, 9)
+            budget.load("req-1", stored)
+        if budget.allows("req-1", "sweep", task):
+            budget.note("req-1", task)
+            moved[task] += 1
+    assert max(moved.values()) <= limit
+
+
+@pytest.mark.parametrize(
+    "stored", [None, 3, {"v": 2, "t": []}, {"v": 1, "t": [[0, "x"]]}, {"v": 1, "t": [[0, -1]]}]
+)
+def test_counts_that_cannot_be_read_allow_no_move(stored):
+    budget = RestartBudget({}, 5)
+    with pytest.raises(UnreadableCountsError):
+        budget.load("req-1", stored)
+    assert not budget.allows("req-1", "sweep", 0) and budget.allows("req-2", "sweep", 0)
+
+
+def test_counts_that_do_not_fit_a_value_allow_no_more_tasks():
+    budget = RestartBudget({}, 1, value_bytes=384)
+    task = 0
+    while budget.allows("req-1", "sweep", 10**5 - task):
+        budget.note("req-1", 10**5 - task)
+        task += 1
+    assert task > 10 and records.size(budget.encode("req-1")) <= 384
+
+
+# -- the owner's moves
+
+
+def uneven(tasks: int = 4, nodes: int = 1, **job) -> World:
+    """Four machines of which the first has all the work, and an owner that spreads load."""
+    cluster = quiet(machines=4, nodes=nodes, policy=PACKED)
+    fields = {"crew": "open", "parts": tasks, "bookmark_s": 5.0, "stash_s": 1.0, "guess_s": 900.0} | job
+    cluster.submit("n0", cluster.job(1, **fields))
+    wait(cluster, 4.0, fleet=False)
+    assert sorted(len(w.running()) for w in cluster.workers.values()) == [0, 0, 0, tasks]
+    cluster.policy = SPREAD
+    for node in cluster.nodes.values():
+        node.engine.policy = SPREAD
+    return cluster
+
+
+def loads(cluster: World) -> list[int]:
+    return sorted(len(worker.running()) for worker in cluster.workers.values())
+
+
+def restarts(cluster: World) -> dict[str, int]:
+    return {part: len(workers) - 1 for part, workers in cluster.starters.items()}
+
+
+def test_running_work_leaves_an_overloaded_machine_and_each_task_moves_once():
+    cluster = uneven()
+    wait(cluster, 120.0, fleet=False)
+    assert loads(cluster)[-1] <= 2, "at most twice the average"
+    assert len(running(cluster)) == 4
+    assert max(restarts(cluster).values()) == 1 and sum(restarts(cluster).values()) <= 3
+    stored = cluster.state.rows[records.moves_key("req-000001")][0]
+    assert sum(count for _, count in stored["t"]) == sum(restarts(cluster).values())
+
+
+@pytest.mark.parametrize(
+    "job",
+    [
+        {"bookmark_s": 0.0},  # it can't save
+        {"guess_s": 12.0},  # it ends soon
+    ],
+)
+def test_work_that_would_lose_or_gain_nothing_stays(job):
+    cluster = uneven(**job)
+    before = {worker.name: worker.running() for worker in cluster.workers.values()}
+    wait(cluster, 60.0, fleet=False)
+    assert {worker.name: worker.running() for worker in cluster.workers.values()} == before
+
+
+def test_a_class_that_allows_the_loss_is_moved():
+    cluster = uneven(bookmark_s=0.0, guess_s=9000.0)
+    cluster.nodes["n0"].engine.policy = dataclasses.replace(SPREAD, spread_lossy=("sweep",))
+    wait(cluster, 60.0, fleet=False)
+    assert loads(cluster)[-1] <= 2
+
+
+def test_a_class_without_restarts_is_not_moved():
+    cluster = uneven()
+    cluster.policy = dataclasses.replace(SPREAD, spread_restarts={"sweep": 0})
+    cluster.boot("n0")
+    wait(cluster, 60.0, fleet=False)
+    assert loads(cluster) == [0, 0, 0, 4]
+
+
+def test_owners_that_follow_one_another_restart_no_task_more_often_than_allowed():
+    cluster = uneven(nodes=3)
+    rng = random.Random(4)
+    for _ in range(8):
+        wait(cluster, rng.uniform(1.0, 30.0), fleet=False)
+        cluster.boot(cluster.owner() or "n0")
+        # What runs is pushed together again, so that there would always be something to move.
+        first, *others = sorted(cluster.workers.values(), key=lambda worker: -len(worker.running()))
+        for worker in others:
+            worker.tasks.clear()
+            worker.session += 1
+        cluster.starters = {part: [w] for part, w in ((p, first) for p in first.running())}
+    counts = cluster.state.rows.get(records.moves_key("req-000001"))
+    assert counts is not None and max(count for _, count in counts[0]["t"]) == 1
+
+
+def moving(cluster: World) -> Placement:
+    """Until a move has been decided, and nothing of it is written yet; the task that it concerns."""
+    engine = cluster.nodes["n0"].engine
+    for _ in range(120):
+        cluster.pass_time(0.5)
+        for worker in cluster.workers.values():
+            cluster.report(worker, "n0")
+        engine.round()
+        if engine.uncounted:
+            return engine.uncounted["req-000001"][0].place
+    pytest.fail("nothing is moved")
+
+
+@pytest.mark.parametrize("counted", [False, True])
+@pytest.mark.parametrize("trouble", ["done", "cancelled", "target", "owner"])
+def test_a_move_that_is_overtaken(trouble, counted):
+    """Its task ends by itself, is cancelled, its target vanishes, or the owner ends, before or after the move
+    is durable and the task told to stop."""
+    cluster = uneven()
+    place = moving(cluster)
+    node = cluster.nodes["n0"]
+    target = node.engine.uncounted["req-000001"][0].target
+    if counted:
+        node.commit_once()
+        assert place.halting and node.engine.moves >= 1
+    if trouble == "done":
+        cluster.finish(place.part)
+    elif trouble == "cancelled":
+        assert cluster.cancel("n0", "req-000001") == "aborted"
+    elif trouble == "target":
+        cluster.execute_delete([node.engine.machines_by[target]])
+    else:
+        cluster.boot("n0")
+    wait(cluster, 60.0)
+    if trouble == "cancelled":
+        assert running(cluster) == []
+        return
+    left = {f"req-000001/{n}" for n in range(4)} - cluster.done_tasks
+    assert set(running(cluster)) == left and len(running(cluster)) == len(left)
+    assert restarts(cluster)[place.part] <= 1
+    if trouble == "done":
+        for part in left:
+            cluster.finish(part)
+        wait(cluster, 10.0, fleet=False)
+        assert cluster.query("n0", "req-000001") == "done"
+
+
+def test_counts_of_jobs_that_are_over_are_deleted():
+    cluster = uneven()
+    moving(cluster)
+    wait(cluster, 10.0, fleet=False)
+    assert records.moves_key("req-000001") in cluster.state.rows
+    cluster.cancel("n0", "req-000001")
+    wait(cluster, 5.0, fleet=False)
+    cluster.submit("n0", cluster.job(2, crew="open"))  # something to write them off with
+    wait(cluster, 5.0, fleet=False)
+    assert records.moves_key("req-000001") not in cluster.state.rows
+
+
+@pytest.mark.parametrize("looks", ["noticed", "silent", "deaf", "refusing", "relayed", "giving back"])
+def test_a_machine_that_only_looks_idle_takes_no_moved_work(looks):
+    machine = idle_machines(1)[0]
+    machine.reported, machine.heard = True, 100.0
+    assert picture(machine, 101.0).accepts(5.0)
+    change = {
+        "noticed": {"notice": 130.0}, "silent": {"heard": 90.0}, "deaf": {"echoed": False},
+        "refusing": {"full_until": 102.0}, "relayed": {"relay": "n2"}, "giving back": {"deleting": True},
+    }[looks]  # fmt: skip
+    for name, value in change.items():
+        setattr(machine, name, value)
+    assert not picture(machine, 101.0).accepts(5.0)
+
+
+def test_a_hint_counts_although_the_image_is_on_many_machines():
+    """The pass over machines with the image took the hint and dropped it: the task came straight back."""
+    cluster = quiet(machines=4, policy=PACKED)
+    engine = cluster.nodes["n0"].engine
+    cluster.submit("n0", cluster.job(1, crew="open", parts=1))
+    cluster.nodes["n0"].mirror.pull(0.0)
+    job = engine.jobs["req-000001"]
+    holder, target = sorted(engine.machines)[:2]
+    engine.machines[holder].images[job.image] = True
+    engine.room.holds(engine.machines[holder], job.image)
+    job.hints[0] = target
+    engine.round()
+    assert job.open[0].machine == target
+
+
+def test_a_late_report_is_no_reason_to_move_work_there():
+    cluster = uneven()
+    for worker in list(cluster.workers.values()):
+        worker.mute = not worker.running()  # the idle ones fall silent
+    for _ in range(8):
+        cluster.pass_time(1.0)
+        for worker in cluster.workers.values():
+            cluster.report(worker, "n0")
+        cluster.step_node("n0")
+    assert cluster.nodes["n0"].engine.moves == 0
+
+
+def test_a_machine_whose_type_the_catalog_lacks_takes_no_part_and_is_named_once(caplog):
+    cluster = uneven()
+    stranger = cluster.machine()
+    stranger.kind = MachineType("odd", 4.0, 0.0, 32.0, 0.2, 0.06, 20.0, 0.5, ("north",))
+    with caplog.at_level("ERROR", logger="bayford.spread"):
+        wait(cluster, 40.0, fleet=False)
+    named = [r for r in caplog.records if stranger.name in r.getMessage() and "catalog" in r.getMessage()]
+    assert len(named) == 1 and stranger.running() == []
--- a/tests/world.py
+++ b/tests/world.py
@@ -380,11 +380,13 @@
         coming: str = "",
         old: Iterable[str] = (),
         cancel_s: float = 42.0,
+        policy: Policy | None = None,
     ) -> None:
         """`coming`: the settings' `state.next`, in TOML. `old`: nodes of the first release; they know of no
         limits to come and don't say what they run. (Their formats are in tests/fixtures, their code is
         not.)"""
         self.clock = Clock()
+        self.policy = policy or Policy(hold_s=0.0, hold_idle_s=0.0)
         self.state = FakeState(self.clock)
         self.lease_s = 12.0
         self.cancel_s = cancel_s
@@ -445,7 +447,7 @@
         """(Re)start a controller with nothing in memory."""
         self.incarnations += 1
         settings = self.settings(name)
-        policy = policy or Policy(hold_s=0.0, hold_idle_s=0.0)
+        policy = policy or self.policy
         engine = Engine(settings, policy, self.clock, self.clock.wall, random.Random(7))
         node: Controller
 
