--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,110 @@
+"""A whole small site on loopback: state service, cloud, workers, controllers."""
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+from standins.cloud import Cloud
+from standins.controllers import Controllers
+from standins.state_service import StateService
+from standins.workers import MachineKind, WorkerFleet
+
+ZONES = ["north", "south"]
+KIND = MachineKind("eight", 8.0, 64.0)
+LEASE_S = 12.0
+FACTS = f"""
+[facts]
+nodes = 3
+zones = {ZONES}
+[[facts.teams]]
+name = "builders"
+[[facts.objectives]]
+kind = "finished"
+class = "hot-builds"
+within_s = 60.0
+[[facts.objectives]]
+kind = "finished"
+class = "mirror-trickle"
+within_s = 600.0
+[facts.workers]
+report_s = 2.0
+lease_s = {LEASE_S}
+cancel_s = 42.0
+[facts.state]
+rps = 100.0
+write_rps = 15.0
+value_kb = 8.0
+txn_ops = 12
+[facts.cloud]
+rps = 3.0
+list_lag_s = 1.0
+[facts.machine_limits]
+mem_mb = 250.0
+"""
+
+
+class Site:
+    """Everything together, for a `with` statement."""
+
+    def __init__(self, folder: Path, script: str, capacity: int = 20) -> None:
+        names = {"n0": "north", "n1": "south", "n2": "north"}
+        self.controllers = Controllers(folder, names, FACTS, script)
+        self.state = StateService()
+        self.fleet = WorkerFleet(self.controllers.fronts, report_s=2.0, lease_s=LEASE_S)
+        self.cloud = Cloud(self.fleet, [KIND], ZONES, capacity)
+
+    def __enter__(self) -> "Site":
+        for name in self.controllers.fronts:
+            self.start(name)
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.controllers.close()
+        self.fleet.close()
+        self.cloud.close()
+        self.state.close()
+
+    def start(self, name: str) -> None:
+        """Start a controller, or start it again."""
+        self.controllers.start(name, self.state.address, self.cloud.address)
+
+    def owner(self) -> str | None:
+        """The controller that owns the teams, by the map in the state service."""
+        owners = self.state.values("b/map").get("b/map", {}).get("owners")
+        return next(iter(owners.values()), None) if isinstance(owners, dict) else None
+
+    def submit(self, job: dict[str, Any], run_s: float) -> None:
+        """A user uploads a job, whose tasks run for so long, and submits it."""
+        self.fleet.upload(job, run_s)
+        self.controllers.submit(job)
+
+    def phases(self, job_id: str) -> dict[str, str | None]:
+        """What each controller says of a job, None where it gives no answer."""
+        out = {}
+        for name in self.controllers.fronts:
+            status, body = self.controllers.ask(name, "GET", f"/api/jobs/{job_id}")
+            out[name] = body["phase"] if status == 200 else None
+        return out
+
+
+def job(number: int, image: str, tasks: int, job_class: str = "hot-builds", **fields: Any) -> dict[str, Any]:
+    """A submission."""
+    return {
+        "id": f"req-{number:06d}", "lane": job_class, "crew": "builders", "shape": "batch", "rank": "urgent",
+        "parts": tasks, "cpus": 1.0, "cards": 0.0, "mem_gb": 2.0, "bundle": image, "size_gb": 0.5,
+        "builds": None, "yard": None, "together": False, "apart": False, "loaners": True, "guess_s": 30.0,
+        "bookmark_s": 0.0, "stash_s": 0.0, "due_s": None,
+    } | fields  # fmt: skip
+
+
+def await_state(holds: Callable[[], bool], what: str, most_s: float = 120.0) -> None:
+    """Wait until something holds. The bound is generous: it ends a test that hangs and says nothing else."""
+    until = time.monotonic() + most_s
+    while not holds():
+        if time.monotonic() > until:
+            raise TimeoutError(f"{what}: not within {most_s:.0f} s")
+        time.sleep(0.1)
--- /dev/null
+++ b/standins/state_service.py
@@ -0,0 +1,152 @@
+"""The state service by its page: keys with stamps, transactions, leases, changes."""
+
+import threading
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from standins.http_service import Answer, Call, HttpService, ServiceControls
+
+
+@dataclass
+class _Row:
+    value: Any
+    stamp: int
+    lease: int | None
+
+
+class StateService:
+    """A small consistent store, for as long as the test runs."""
+
+    def __init__(self) -> None:
+        self.controls = ServiceControls()
+        self._changed = threading.Condition()
+        self._rows: dict[str, _Row] = {}
+        self._leases: dict[int, tuple[float, float]] = {}  # until, ttl
+        self._log: list[dict[str, Any]] = []
+        self.epoch = 1
+        self.changes = 0  # puts and deletes so far
+        self._service = HttpService(self._handle, self.controls)
+        self.address = self._service.address
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._service.close()
+
+    def values(self, prefix: str) -> dict[str, Any]:
+        """What is stored below a prefix now."""
+        with self._changed:
+            return {key: row.value for key, row in self._rows.items() if key.startswith(prefix)}
+
+    def _handle(self, call: Call) -> Answer:
+        if call.path == "/multi":
+            return self._transact(call.body)
+        if call.path == "/changes":
+            return self._watch(call.query)
+        if call.path.startswith("/leases"):
+            return self._lease(call)
+        if call.path == "/store":
+            return self._scan(call.query)
+        if call.path.startswith("/store/"):
+            return self._get(call.path[len("/store/") :])
+        return Answer(400)
+
+    def _get(self, key: str) -> Answer:
+        with self._changed:
+            self._expire()
+            row = self._rows.get(key)
+            if row is None:
+                return Answer(404, {"epoch": self.epoch})
+            return Answer(200, {"path": key, "v": row.value, "stamp": row.stamp, "permit": row.lease})
+
+    def _scan(self, query: dict[str, str]) -> Answer:
+        limit = int(query.get("limit", 1000))
+        with self._changed:
+            self._expire()
+            keys = sorted(
+                key
+                for key in self._rows
+                if key.startswith(query.get("prefix", "")) and key > query.get("since", "")
+            )
+            rows = [
+                {"path": key, "v": self._rows[key].value, "stamp": self._rows[key].stamp}
+                for key in keys[:limit]
+            ]
+            return Answer(200, {"rows": rows, "more": len(keys) > limit, "epoch": self.epoch})
+
+    def _transact(self, body: dict[str, Any]) -> Answer:
+        changes = body.get("then", [])
+        with self._changed:
+            self._expire()
+            if any(c.get("permit") is not None and c["permit"] not in self._leases for c in changes):
+                return Answer(400, {"error": "no such lease"})
+            failed = [
+                w["path"]
+                for w in body.get("when", [])
+                if (self._rows[w["path"]].stamp if w["path"] in self._rows else 0) != w["stamp"]
+            ]
+            if failed:
+                return Answer(409, {"failed": failed, "epoch": self.epoch})
+            if changes:
+                self._apply(changes)
+            return Answer(200, {"epoch": self.epoch})
+
+    def _apply(self, changes: list[dict[str, Any]]) -> None:
+        self.epoch += 1
+        self.changes += len(changes)
+        for change in changes:
+            if "set" in change:
+                key, value = change["set"], change["v"]
+                self._rows[key] = _Row(value, self.epoch, change.get("permit"))
+                self._log.append({"set": key, "v": value, "stamp": self.epoch})
+            elif self._rows.pop(change["drop"], None) is not None:
+                self._log.append({"drop": change["drop"], "stamp": self.epoch})
+        self._changed.notify_all()
+
+    def _expire(self) -> None:
+        now = time.monotonic()
+        for lease in [n for n, (until, _) in self._leases.items() if until < now]:
+            del self._leases[lease]
+            self._drop_keys_of(lease)
+
+    def _drop_keys_of(self, lease: int) -> None:
+        keys = [key for key, row in self._rows.items() if row.lease == lease]
+        if keys:
+            self._apply([{"drop": key} for key in keys])
+
+    def _lease(self, call: Call) -> Answer:
+        words = call.path.strip("/").split("/")
+        with self._changed:
+            self._expire()
+            if len(words) == 1:
+                number = self.epoch * 1000 + len(self._leases)
+                ttl_s = call.body["ttl_ms"] / 1000.0
+                self._leases[number] = (time.monotonic() + ttl_s, ttl_s)
+                return Answer(200, {"permit": number})
+            number = int(words[1])
+            if number not in self._leases:
+                return Answer(404)
+            if call.method == "DELETE":
+                del self._leases[number]
+                self._drop_keys_of(number)
+            else:
+                ttl_s = self._leases[number][1]
+                self._leases[number] = (time.monotonic() + ttl_s, ttl_s)
+            return Answer(200)
+
+    def _watch(self, query: dict[str, str]) -> Answer:
+        since = int(query["since"])
+        prefix = query.get("prefix", "")
+        until = time.monotonic() + int(query.get("block_ms", 0)) / 1000.0
+        with self._changed:
+            while True:
+                self._expire()
+                log = [
+                    c
+                    for c in self._log
+                    if c["stamp"] > since and (c.get("set") or c["drop"]).startswith(prefix)
+                ]
+                left = until - time.monotonic()
+                if log or left <= 0:
+                    return Answer(200, {"epoch": self.epoch, "log": log})
+                self._changed.wait(min(left, 0.2))
