--- a/bayford/spread/rebalance.py
+++ b/bayford/spread/rebalance.py
@@ -33,6 +33,25 @@
     after: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Balance:
+    """How uneven the load is."""
+
+    imbalance: float  # equation 1
+    excess: float  # load above the threshold, all machines together
+
+    @staticmethod
+    def of(hosts: Sequence[Host], threshold: float) -> "_Balance":
+        limit = threshold * sum(host.load for host in hosts) / len(hosts)
+        excess = sum(max(0.0, host.load - limit) for host in hosts)
+        return _Balance(tempered.imbalance(host.load for host in hosts), excess)
+
+    def better_than(self, other: "_Balance") -> bool:
+        if abs(self.imbalance - other.imbalance) > EPS:
+            return self.imbalance < other.imbalance
+        return self.excess < other.excess - EPS
+
+
 def sources(hosts: Sequence[Host], threshold: float) -> list[Host]:
     """The machines above `threshold` times the average load, the most loaded first."""
     average = sum(host.load for host in hosts) / len(hosts) if hosts else 0.0
@@ -43,22 +62,25 @@
 def rebalance(
     hosts: Sequence[Host], threshold: float, counts: Counts, allowed: Allowed, rng: random.Random
 ) -> Rebalancing | None:
-    """The moves that lower the highest load most, or None where no trial lowers it.
+    """The moves of the trial that leaves the least imbalance, or None where no trial is better than no move.
 
+    Of several machines that are loaded alike a budget of few moves relieves one, and the highest load stays
+    as it is: among trials with the same imbalance, that with less load above the threshold counts as better.
     A task moves once in a plan at the most, off the machine on which it runs: what has come in a trial is no
     candidate to go on from there.
     """
     if counts.moves <= 0 or not sources(hosts, threshold):
         return None
-    before = tempered.imbalance(host.load for host in hosts)
+    before = _Balance.of(hosts, threshold)
+    best_balance = before
     best: Rebalancing | None = None
     for _ in range(counts.trials):
         trial = tempered.copy_hosts(hosts)
         relocations = _trial(trial, threshold, counts, allowed, rng)
-        after = tempered.imbalance(host.load for host in trial)
-        better = after < (before if best is None else best.after) - EPS
-        if relocations and better:
-            best = Rebalancing(tuple(relocations), before, after)
+        after = _Balance.of(trial, threshold)
+        if relocations and after.better_than(best_balance):
+            best_balance = after
+            best = Rebalancing(tuple(relocations), before.imbalance, after.imbalance)
     return best
 
 
