--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,11 +1,13 @@
 """A settings file with a wrong value stops `check-config` and the start, naming the field."""
 
 import re
+from pathlib import Path
 
 import pytest
 from world import SETTINGS
 
 from bayford import cli, config
+from bayford.script import evaluate, load
 
 GOOD = SETTINGS.format(name="n9", zone="north", writes=15.0, value_kb=8.0, cancel_s=42.0, coming="")
 LIMITS = "[facts.machine_limits]\ncore_share = 0.18\nmem_mb = 146.0\nfd_limit = 900\n"
@@ -44,3 +46,47 @@
     assert cli.main([verb, "--config", str(path)]) == 2
     complaint = capsys.readouterr().err
     assert re.search(re.escape(f"`$.{field}`"), complaint), complaint
+
+
+@pytest.mark.parametrize(
+    ("line", "field"),
+    [
+        ("spred = True", "spred"),
+        ("spread = 1", "spread"),
+        ("spread_load_s = -1.0", "spread_load_s"),
+        ("spread_fetch_weight = -0.1", "spread_fetch_weight"),
+        ("spread_threshold = 0.5", "spread_threshold"),
+        ("spread_candidates = 2.5", "spread_candidates"),
+        ("spread_restarts_default = 1.5", "spread_restarts_default"),
+        ('spread_restarts = {"sweep": 1.5}', "spread_restarts['sweep']"),
+        ('spread_restarts = {"sweep": -1}', "spread_restarts['sweep']"),
+        ('spread_restarts = {"sweep": True}', "spread_restarts['sweep']"),
+        ('spread_restarts = {"seep": 1}', "spread_restarts: 'seep'"),
+        ('spread_restarts = ["sweep"]', "spread_restarts"),
+        ('spread_lossy = ["seep"]', "spread_lossy: 'seep'"),
+        ("spread_lossy = [1]", "spread_lossy"),
+    ],
+)
+@pytest.mark.parametrize("verb", ["check-config", "serve"])
+def test_a_wrong_setting_of_load_spread_is_named(verb, line, field, tmp_path, capsys):
+    settings, script = tmp_path / "settings.toml", tmp_path / "p.star"
+    settings.write_text(GOOD + AIM)
+    script.write_text(line + "\n")
+    assert cli.main([verb, "--config", str(settings), "--script", str(script)]) == 2
+    assert field in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("script", ["policy.star", "all-parts.star"])
+def test_the_scripts_that_are_shipped_are_good(script, tmp_path, capsys):
+    settings = tmp_path / "settings.toml"
+    settings.write_text(GOOD + AIM)
+    shipped = Path(__file__).parent.parent / "deploy" / script
+    assert cli.main(["check-config", "--config", str(settings), "--script", str(shipped)]) == 0
+    policy = load(str(shipped), config.parse(GOOD + AIM))
+    assert policy.spread == (script == "all-parts.star")
+    assert policy.spread_restarts == ({"sweep": 2} if policy.spread else {})
+
+
+def test_classes_that_no_aim_names_may_be_added():
+    text = 'extra_classes = ["trickle"]\nspread_restarts = {"trickle": 3}\n'
+    assert evaluate(text, "p.star", config.parse(GOOD)).spread_restarts == {"trickle": 3}
