--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -13,6 +13,7 @@
 
 from bayford.coordination.controller import Controller
 from bayford.protocol import mesh, workers
+from bayford.scheduling.policy import Policy
 from bayford.transport.front import Mesh
 from bayford.transport.server import Request
 
@@ -865,9 +866,17 @@
 )  # fmt: skip
 
 
-@pytest.mark.parametrize("seed", range(24))
-def test_troubles_meet_at_random(seed):
-    w = World(3, seed=seed)
+RESTLESS = Policy(  # moves whatever it may, as soon as it may
+    hold_s=0.0, hold_idle_s=0.0, spread=True, spread_rest_s=1.0, spread_every_s=0.5, spread_threshold=1.0,
+    spread_restarts_default=2, spread_lossy=("sweep",), extra_classes=("sweep",), balance_share=1.0,
+)  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("seed", "policy"), [(s, None) for s in range(24)] + [(s, RESTLESS) for s in range(24, 24 + 12)]
+)
+def test_troubles_meet_at_random(seed, policy):
+    w = World(3, seed=seed, policy=policy)
     for n in range(5):
         w.machine(zone="north" if n % 2 else "south", spot=n % 3 > 0)
     wait(w, 2.0)
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from test_room_index import CPUS, indexed, jobs, machines, make_job
 from test_stories import quiet, running, wait
-from world import World
+from world import LIMITS, World
 
 from bayford.scheduling import placement, tempered
 from bayford.scheduling.model import Machine, MachineType, Placement
@@ -410,6 +410,14 @@
     assert not placement.eligible(second, target, {}, cluster.clock.now)
 
 
+def test_no_team_limit_is_exceeded_where_load_is_spread():
+    cluster = quiet(machines=6, policy=SPREAD)
+    for number in range(4):
+        cluster.submit("n0", cluster.job(number, parts=6))
+    wait(cluster, 10.0, fleet=False)
+    assert len(running(cluster)) == LIMITS["red"]
+
+
 def test_counts_of_jobs_that_are_over_are_deleted():
     cluster = uneven()
     moving(cluster)
