--- a/bayford/cli.py
+++ b/bayford/cli.py
@@ -122,9 +122,40 @@
         sub = verbs.add_parser(verb, help=text, description=text)
         sub.add_argument("--config", required=True, metavar="FILE", help="settings file (TOML)")
         sub.add_argument("--script", metavar="FILE", help="the operators' script (Starlark)")
+    text = "show when zones were lost and what became of the tasks there"
+    sub = verbs.add_parser("zones", help=text, description=text)
+    sub.add_argument("--config", required=True, metavar="FILE", help="settings file (TOML)")
+    sub.add_argument("--json", action="store_true", help="for programs")
     return top
 
 
+def show_zones(settings: Settings, as_json: bool) -> int:
+    """Print what the state service holds of the zones' losses; exit status 1 if that can't be read."""
+    from bayford.protocol.state_api import StateApi
+    from bayford.recovery import report
+    from bayford.recovery.record import UnreadableRecordError, decode
+    from bayford.storage import records
+    from bayford.storage.store import OutcomeUnknownError, UnavailableError
+    from bayford.transport.client import Client
+
+    state = StateApi(Client(*split_address(settings.outside.state)).call)
+    try:
+        rows, _ = state.scan(records.ZONES)
+    except (UnavailableError, OutcomeUnknownError) as bad:
+        print(f"bayford: the state service at {settings.outside.state} is out: {bad}", file=sys.stderr)
+        return 1
+    zones = []
+    status = 0
+    for row in rows:
+        try:
+            zones.append(decode(row.value))
+        except UnreadableRecordError as bad:
+            print(f"bayford: {row.key}: {bad}", file=sys.stderr)
+            status = 1
+    print(report.as_json(zones) if as_json else report.as_text(zones))
+    return status
+
+
 def main(argv: list[str] | None = None) -> int:
     """Entry point; exit status 2 for bad settings."""
     args = parser().parse_args(argv)
@@ -136,6 +167,8 @@
     except SettingsError as bad:
         print(f"bayford: {args.config}: {bad}", file=sys.stderr)
         return 2
+    if args.verb == "zones":
+        return show_zones(settings, args.json)
     policy = Policy()
     if args.script:
         from bayford import script  # only who has a script pays for the interpreter
--- a/bayford/coordination/autoscaler.py
+++ b/bayford/coordination/autoscaler.py
@@ -1,5 +1,6 @@
 """What the owner asks of the cloud: rentals, returns, deletions."""
 
+import dataclasses
 import logging
 import math
 from collections.abc import Iterable, Iterator, Sequence
@@ -8,6 +9,7 @@
 from bayford.coordination.scheduling_round import SchedulingRound
 from bayford.coordination.worker_reports import RUNS_S
 from bayford.protocol.cloud_api import Listed
+from bayford.recovery.zone_health import OwnerFacts
 from bayford.scheduling import fleet, placement
 from bayford.scheduling.model import (
     EPS,
@@ -16,6 +18,7 @@
     JobSpec,
     Machine,
 )
+from bayford.storage.store import Put
 
 log = logging.getLogger("bayford.engine")
 
@@ -86,6 +89,17 @@
         if entry.phase == "failed":
             machine.quarantined = machine.lost = True
 
+    def watch_zones(self, owner: OwnerFacts) -> list[Put]:
+        """Take the state of the zones in; the records to write now."""
+        with self.lock:
+            self.zone_watch.look(owner)
+            return self.zone_watch.puts()
+
+    def zones_not_written(self, puts: list[Put]) -> None:
+        """Records of zones that were refused, or of which nobody knows."""
+        with self.lock:
+            self.zone_watch.not_written(puts)
+
     def fleet_step(self, listening: float) -> FleetStep:
         """What to rent and what to delete now. Nobody counts as silent before `listening`: until then we
         stood still, or turned reports away."""
@@ -192,7 +206,7 @@
                 continue
             for zone_name in kind.zones:
                 zone = self.zones.index(zone_name)
-                if job.zone is not None and zone != job.zone:
+                if (job.zone is not None and zone != job.zone) or zone in self.closed_zones:
                     continue
                 options.add(fleet.Option(index, zone, False))
                 if job.spec.spot:
@@ -260,6 +274,7 @@
                 fleet.Option(index, self.zones.index(zone), False)
                 for index, kind in enumerate(self.types)
                 for zone in kind.zones
+                if self.zones.index(zone) not in self.closed_zones
             )
             options = max(known, key=len, default=ordinary)
             if options and not any(option.spot for option in options):
@@ -327,7 +342,7 @@
             self.policy.ordinary_after_s,
             self.policy.patience_s,
         )
-        for rental in rentals:
+        for rental in self._paced(rentals, machines):
             option = rental.option
             self._asked_for(option, rental.count)
             kind, zone = self.types_by[option.type], self.zones[option.zone]
@@ -337,6 +352,22 @@
             )  # fmt: skip
             step.rentals.append(RentalOrder(kind, zone, option.spot, rental.count, rental.why))
 
+    def _paced(self, rentals: list[fleet.Rental], machines: Present) -> list[fleet.Rental]:
+        """Into a zone that returns and of which nothing answers yet only a few machines, to see."""
+        answering = {option.zone for option, machine in machines if machine.index in self.verified_machines}
+        out = []
+        for rental in rentals:
+            zone = rental.option.zone
+            if zone in self.returning_zones and zone not in answering:
+                coming = sum(n for option, n in self.renting.items() if option.zone == zone)
+                there = sum(option.zone == zone for option, _ in machines)
+                count = min(rental.count, self.policy.recovery_least - coming - there)
+                if count <= 0:
+                    continue
+                rental = dataclasses.replace(rental, count=count)
+            out.append(rental)
+        return out
+
     def rented(self, order: RentalOrder, names: list[str], at: float) -> None:
         """A rental request was answered (`names` may be fewer than asked) or refused (none)."""
         with self.lock:
--- a/bayford/coordination/balancer.py
+++ b/bayford/coordination/balancer.py
@@ -135,6 +135,7 @@
             return False
         return (
             machine.zone is not None
+            and machine.zone not in state.closed_zones | state.returning_zones
             and self._mover.allows(job, task)
             and machine.index not in job.failed_on
             and placement.type_allowed(job, machine)
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -22,6 +22,7 @@
 from bayford.coordination.user_requests import UserRequests
 from bayford.protocol import jobs, mesh, workers
 from bayford.protocol.cloud_api import Cloud, CloudBusyError
+from bayford.recovery.zone_health import OwnerFacts
 from bayford.storage import records, summary
 from bayford.storage.mirror import Mirror
 from bayford.storage.store import (
@@ -367,7 +368,10 @@
             read_at = self.mirror.revision
             attempt = self.mirror.with_ledger(lambda ledger: ledger.next_attempt)
             moves = {row.key[len(records.MOVES) :]: row.value for row in self.mirror.below(records.MOVES)}
-            self.engine.adopt(self.mirror.open_jobs(), attempt, late, view.stamp, view.token, as_of, moves)
+            zones = {row.key[len(records.ZONES) :]: row.value for row in self.mirror.below(records.ZONES)}
+            self.engine.adopt(
+                self.mirror.open_jobs(), attempt, late, view.stamp, view.token, as_of, moves, zones
+            )  # fmt: skip
             adopted, self._adopted = self._adopted, threading.Event()
             adopted.set()
             # Rows that came in while the records were being read were told to no owner: look again. What
@@ -525,7 +529,26 @@
             and not self._served_peers()
         )
 
+    def watch_zones(self) -> None:
+        """Look after the zones and write what has become of them."""
+        now = self.clock()
+        facts = OwnerFacts(
+            self.sure_owner(), self._served(), now - max(self._listening, self.stalls.resumed_at())
+        )
+        puts = self.engine.watch_zones(facts)
+        if not puts:
+            return
+        try:
+            self.writes.take(len(puts))
+            if not self.store.commit({records.MAP: self.engine.term}, puts).applied:
+                self.engine.zones_not_written(puts)
+        except (UnavailableError, OutcomeUnknownError):
+            self.engine.zones_not_written(puts)
+            raise
+
     def _fleet_step(self) -> float:
+        if self.engine.owner and self.engine.policy.recovery:
+            self.watch_zones()
         if self.engine.owner:
             self.cloud_calls.carry_out(self.fleet_once())
         return 0.5
--- a/bayford/coordination/owner_state.py
+++ b/bayford/coordination/owner_state.py
@@ -76,6 +76,9 @@
         self.on_ready: Callable[[int], None] = lambda machine: None
         self.on_halt: Callable[[int], None] = lambda machine: None
         self.on_gone: Callable[[int], None] = lambda machine: None
+        self.on_adopted: Callable[[], None] = lambda: None
+        self.on_done: Callable[[Placement], None] = lambda place: None
+        self.on_placed: Callable[[Placement], None] = lambda place: None
         # The counts of these moves are durable: they may begin.
         self.on_moves_counted: Callable[[list[Relocation]], None] = lambda moves: None
         # Runs something short on the mirror's ledger.
@@ -147,6 +150,10 @@
         self.uncounted: dict[str, list[Relocation]] = {}  # moves whose counts have still to be written
         self.old_counts: dict[str, None] = {}  # jobs that are over and whose counts may be deleted
         self.spread_at = NEVER
+        self.zone_records: Mapping[str, Any] = MappingProxyType({})  # as the owner before has written them
+        self.closed_zones: frozenset[int] = frozenset()  # where nothing is placed or rented
+        self.returning_zones: frozenset[int] = frozenset()  # where work comes back in the stated order,
+        self.verified_machines: frozenset[int] = frozenset()  # to these machines
         self.dear_serves = True
 
     def adopt(
@@ -158,6 +165,7 @@
         token: int = 0,
         as_of: float = NEVER,
         moves: Mapping[str, Any] = MappingProxyType({}),
+        zones: Mapping[str, Any] = MappingProxyType({}),
     ) -> None:
         """Become owner: rebuild everything from the records. Nothing is placed before this is complete.
 
@@ -165,7 +173,8 @@
         steers choices, so that it is late, or missing, does no harm. `term` is the stamp of the map that
         made us owner: every write names it. Never the stamp of the newest map seen, for that may already
         be another's, and our writes would pass under it. `as_of`: when the read of all that was sent.
-        `moves`: what is stored of each job's restarts by moves.
+        `moves`: what is stored of each job's restarts by moves,
+        `zones`: of each zone's losses.
         """
         with self.lock:
             self._clear()
@@ -179,6 +188,8 @@
             for record, stamp, progress in found:
                 self._load(record, stamp, now, progress)
             self._load_restarts(moves)
+            self.zone_records = zones
+            self.on_adopted()
             self.inherited = bool(self.jobs or self.late_picture)
             self.complete = True
             log.info("owner of %d open jobs on %d machines", len(self.jobs), len(self.machines))
--- a/bayford/coordination/preemptor.py
+++ b/bayford/coordination/preemptor.py
@@ -77,7 +77,11 @@
         for place in state.halting:
             shares[place.job.team].give(place.job.spec)
             busy.add(place.machine)
-        machines = [m for m in state.machines.values() if not m.relay and m.index not in busy]
+        machines = [
+            m
+            for m in state.machines.values()
+            if not m.relay and m.index not in busy and m.zone not in state.closed_zones
+        ]
         running = sum(len(job.open) for job in state.jobs.values())
         # A fleet several times as large gives back several times as much in the same time.
         stops = max(state.policy.preempt_per_round, int(state.policy.preempt_share * running))
--- a/bayford/coordination/scheduling_round.py
+++ b/bayford/coordination/scheduling_round.py
@@ -1,5 +1,6 @@
 """The scheduling round: place what waits, preempt, balance, drain."""
 
+import dataclasses
 import logging
 import math
 import random
@@ -12,6 +13,8 @@
 from bayford.coordination.mover import Mover
 from bayford.coordination.preemptor import Preemptor
 from bayford.coordination.worker_reports import WorkerReports
+from bayford.coordination.zone_watch import ZoneWatch
+from bayford.recovery import return_order
 from bayford.scheduling import placement
 from bayford.scheduling.model import EPS, GANG, URGENT, Job, Machine
 from bayford.scheduling.policy import Policy
@@ -47,6 +50,7 @@
         self.mover = Mover(self)
         self.balancer = Balancer(self, self.mover)
         self.spreader = LoadSpreader(self, self.balancer, self.mover)
+        self.zone_watch = ZoneWatch(self)
 
     def round(self) -> None:
         """Place what waits, then make room for what may push others out."""
@@ -75,6 +79,8 @@
         In a backlog, room on a machine without a job's image is better left to a job whose image is there,
         as long as the first finds its own on enough other machines: a fetch takes as long as many a task.
         """
+        if self.returning_zones:
+            queue = self._place_returning(queue, now)
         local = self._spread_images(now) if self.room else frozenset()
         passed: list[tuple[Job, int]] = []
         for entry in queue:
@@ -99,6 +105,21 @@
                 break
             self._place(job, count, now)
 
+    def _place_returning(self, queue: list[QueueEntry], now: float) -> list[QueueEntry]:
+        """Offer the room of zones that return in the operators' order; what is left of the queue.
+
+        A class further down is offered what those above it leave. Each machine fetches one image at a time.
+        """
+        order = self.policy.return_order
+        left = {}
+        for entry in sorted(queue, key=lambda entry: return_order.rank(entry.job, order)):
+            before = len(entry.job.waiting)
+            if before and self.room:
+                self._place(entry.job, entry.count, now, returning=True)
+            left[entry.order, entry.job.spec.id] = entry.count - (before - len(entry.job.waiting))
+        counted = [dataclasses.replace(e, count=left[e.order, e.job.spec.id]) for e in queue]
+        return [entry for entry in counted if entry.count > 0 and entry.job.waiting]
+
     def _spread_images(self, now: float) -> frozenset[int]:
         """Images that are on so many machines that a job may wait for room on one of them."""
         if now - self.images_at > 2.0:
@@ -209,8 +230,11 @@
         left = (len(job.waiting) + 0.5 * len(job.open)) * run * max(job.spec.cpus, 0.1)
         return left / (1.0 + age / self.policy.aging_s)
 
-    def _place(self, job: Job, count: int, now: float, with_image_only: bool = False) -> None:
-        """Place up to `count` tasks; `with_image_only`: on machines that hold the image, or fetch it."""
+    def _place(
+        self, job: Job, count: int, now: float, with_image_only: bool = False, returning: bool = False
+    ) -> None:
+        """Place up to `count` tasks; `with_image_only`: on machines that hold the image, or fetch it;
+        `returning`: on those of zones that return, else on those of all others."""
         zoned = job.spec.one_zone or job.spec.spread
         if zoned and any(self.zone_of(p.machine) is None for p in job.open.values()):
             # After a takeover a machine with tasks of the job may not have been heard yet: where it
@@ -222,8 +246,10 @@
         cheap_only = not self.dear_serves and job.spec.priority < URGENT and job.spec.spot and job.cheap_hosts
 
         def open_to_job(machine: Machine) -> bool:
-            return placement.eligible(job, machine, counts, now) and (
-                not cheap_only or machine.spot or machine.index in self.standing
+            return (
+                placement.eligible(job, machine, counts, now)
+                and (not cheap_only or machine.spot or machine.index in self.standing)
+                and self._zone_open(job, machine, returning)
             )
 
         def may_take(machine: Machine) -> bool:
@@ -238,6 +264,16 @@
         else:
             self._place_array(job, count, open_to_job, with_image_only, now)
 
+    def _zone_open(self, job: Job, machine: Machine, returning: bool) -> bool:
+        """Whether the state of its zone lets the machine take a task of the job."""
+        if machine.zone in self.closed_zones:
+            return False
+        if (machine.zone in self.returning_zones) != returning:
+            return False
+        return not returning or (
+            machine.index in self.verified_machines and return_order.fetch_allowed(job, machine)
+        )
+
     def _place_array(
         self, job: Job, count: int, may_take: Callable[[Machine], bool], with_image_only: bool, now: float
     ) -> None:
@@ -345,6 +381,7 @@
         place = self._placement(job, task, attempt, machine, machine.session)
         self._book(job, machine, place)
         self._touch(job, task)
+        self.on_placed(place)
         place.on_turn = on_turn
         place.placed_at = now
         job.placed_at = now
--- a/bayford/coordination/worker_reports.py
+++ b/bayford/coordination/worker_reports.py
@@ -192,6 +192,7 @@
         """A task has completed."""
         job = place.job
         job.done.add(place.task)
+        self.on_done(place)
         self._use_image(machine, job, there=True)
         machine.good += 1
         machine.failed_jobs.clear()
--- /dev/null
+++ b/bayford/coordination/zone_watch.py
@@ -0,0 +1,227 @@
+"""The owner's watch over its zones: states, what is closed meanwhile, and the record of each loss.
+
+The transitions are those of `recovery.zone_health`. Called under the lock of the owner's state.
+"""
+
+import logging
+
+from bayford.coordination.owner_state import OwnerState
+from bayford.recovery import record
+from bayford.recovery.fates import Fates, TaskKey
+from bayford.recovery.zone_health import (
+    HealthTimes,
+    OwnerFacts,
+    ZoneFacts,
+    ZoneState,
+    ZoneStatus,
+    advance,
+    blindness,
+)
+from bayford.scheduling.model import Placement
+from bayford.storage.store import Put
+
+log = logging.getLogger("bayford.recovery")
+
+QUIET_REPORTS = 2.5  # a machine that missed so many reports is silent
+REPORTS_BACK = 2  # a machine of a zone that returns gets work after so many reports
+WRITE_PERIOD_S = 2.0  # how often what becomes of tasks is written, at the most
+
+
+class ZoneWatch:
+    """States of all zones, in this owner's term."""
+
+    def __init__(self, state: OwnerState) -> None:
+        self._state = state
+        facts, policy = state.settings.facts, state.policy
+        self.times = HealthTimes(
+            facts.workers.lease_s, facts.workers.report_s, policy.recovery_least,
+            settle_leases=policy.recovery_settle_leases, flap_memory_s=policy.recovery_flap_memory_s,
+        )  # fmt: skip
+        self._begin_term()
+        state.on_adopted = self._adopted
+        state.on_done = self._on_done
+        state.on_placed = self._on_placed
+
+    def _begin_term(self) -> None:
+        self.statuses: dict[int, ZoneStatus] = {}
+        self.losses: dict[int, list[Fates]] = {}
+        self._unwritten: set[int] = set()
+        self._written_at = 0.0
+        self._reports: dict[int, tuple[int, tuple[int, int]]] = {}  # by machine: how many, and the last one
+
+    def _adopted(self) -> None:
+        """This controller has become owner: go on with what the owner before has written."""
+        self._begin_term()
+        state = self._state
+        if not state.policy.recovery:
+            return
+        for name, value in state.zone_records.items():
+            zone = state.zones.find(name)
+            try:
+                found = record.decode(value)
+                status = self._status_of(found)
+            except (record.UnreadableRecordError, ValueError) as bad:
+                log.error("zone %s: %s; taken for absent", name, bad)
+                continue
+            if zone is not None:
+                self.statuses[zone] = status
+                self.losses[zone] = [Fates.of(loss) for loss in found.losses]
+        self._publish()
+
+    def _status_of(self, found: record.ZoneRecord) -> ZoneStatus:
+        state = self._state
+        offset = state.clock() - state.wall()  # from the time of day to this clock
+        last = found.losses[-1] if found.losses else None
+        return ZoneStatus(
+            ZoneState(found.state),
+            found.since + offset,
+            0.0 if last is None else last.suspected + offset,
+            0.0 if last is None else last.lost + offset,
+            found.flaps,
+        )
+
+    # -- looking ---------------------------------------------------------------------------------------
+
+    def look(self, owner: OwnerFacts) -> None:
+        """Take the zones' present state in."""
+        state = self._state
+        if not state.policy.recovery or not state.owner or not state.complete:
+            return
+        now = state.clock()
+        zones = self._facts(now)
+        for zone in range(len(state.zones)):
+            before = self.statuses.get(zone, ZoneStatus(since=now))
+            unknown = blindness(owner, zones, zone, self.times)
+            after = advance(before, zones.get(zone, ZoneFacts(0, 0, 0)), unknown, now, self.times)
+            self.statuses[zone] = after
+            if after.state is not before.state:
+                self._changed(zone, before, after)
+            elif after.state is not ZoneState.UP and after.unknown != before.unknown and after.unknown:
+                log.info("zone %s stays %s: %s", state.zones[zone], after.state, after.unknown)
+        self._note_cancelled()
+        self._publish()
+
+    def _facts(self, now: float) -> dict[int, ZoneFacts]:
+        quiet_s = QUIET_REPORTS * self.times.report_s
+        out: dict[int, ZoneFacts] = {}
+        for machine in self._state.machines.values():
+            # A new owner has not heard the machines of a zone that was lost before it began: it knows them by
+            # the tasks that the ledger has there.
+            if machine.zone is None or not (machine.reported or machine.open):
+                continue
+            since = self.statuses[machine.zone].since if machine.zone in self.statuses else 0.0
+            heard = now - machine.heard <= quiet_s
+            answering = heard and machine.echoed and machine.answered >= since
+            old = out.get(machine.zone, ZoneFacts(0, 0, 0))
+            out[machine.zone] = ZoneFacts(old.machines + 1, old.heard + heard, old.answering + answering)
+        return out
+
+    def _changed(self, zone: int, before: ZoneStatus, after: ZoneStatus) -> None:
+        state = self._state
+        name = state.zones[zone]
+        wall = state.wall()
+        losses = self.losses.setdefault(zone, [])
+        if after.state is ZoneState.LOST:
+            fates = Fates(wall - (after.since - after.suspected), wall)
+            fates.open = {
+                (place.job.spec.id, place.task)
+                for machine in state.machines.values()
+                if machine.zone == zone
+                for place in machine.open.values()
+            }
+            losses.append(fates)
+            log.error("zone %s is lost with %d tasks there", name, len(fates.open))
+        else:
+            if before.state is ZoneState.LOST and losses:
+                losses[-1].returned = wall
+            log.info("zone %s: %s, then %s (%d flaps)", name, before.state, after.state, after.flaps)
+        if after.state is ZoneState.RETURNING:
+            self._reports = {m: seen for m, seen in self._reports.items() if state.zone_of(m) != zone}
+        self._unwritten.add(zone)
+        self._written_at = 0.0
+
+    def _publish(self) -> None:
+        """What the rounds go by."""
+        state = self._state
+        state.closed_zones = frozenset(z for z, s in self.statuses.items() if s.state.closed)
+        state.returning_zones = frozenset(
+            z for z, s in self.statuses.items() if s.state is ZoneState.RETURNING
+        )
+        state.verified_machines = self._verified() if state.returning_zones else frozenset()
+
+    def _verified(self) -> frozenset[int]:
+        """Machines of returning zones that have reported twice since: one report alone may have been held
+        back by the cut, and its machine be gone."""
+        out = set()
+        for index, machine in self._state.machines.items():
+            if machine.zone not in self._state.returning_zones or not machine.reported:
+                continue
+            order = (machine.session, machine.tick)
+            count, last = self._reports.get(index, (0, (-1, -1)))
+            since = self.statuses[machine.zone].since
+            if order != last and machine.heard >= since:
+                count += 1
+                self._reports[index] = (count, order)
+            if count >= REPORTS_BACK:
+                out.add(index)
+        return frozenset(out)
+
+    # -- what becomes of tasks ---------------------------------------------------------------------------
+
+    def _on_done(self, place: Placement) -> None:
+        key = (place.job.spec.id, place.task)
+        for zone, losses in self.losses.items():
+            if any(fates.note_done(key) for fates in losses):
+                self._unwritten.add(zone)
+
+    def _on_placed(self, place: Placement) -> None:
+        key = (place.job.spec.id, place.task)
+        machine = self._state.machines_by[place.machine]
+        for zone, losses in self.losses.items():
+            if any(fates.note_placed(key, machine) for fates in losses):
+                self._unwritten.add(zone)
+
+    def _note_cancelled(self) -> None:
+        for zone, losses in self.losses.items():
+            for fates in losses:
+                for key in [key for key in fates.open if self._is_cancelled(key)]:
+                    fates.note_cancelled(key)
+                    self._unwritten.add(zone)
+
+    def _is_cancelled(self, key: TaskKey) -> bool:
+        """Whether nobody wants the task any more and nothing of it is on a machine. A job that is not here
+        is over, and had it not been cancelled, the end of this task would have been noted."""
+        job = self._state.jobs.get(key[0])
+        return job is None or (job.cancelled and key[1] not in job.open)
+
+    # -- records ---------------------------------------------------------------------------------------
+
+    def puts(self) -> list[Put]:
+        """The records to write now."""
+        state = self._state
+        now = state.clock()
+        if not self._unwritten or now - self._written_at < WRITE_PERIOD_S:
+            return []
+        self._written_at = now
+        out = [Put(record.key(state.zones[zone]), self._encoded(zone)) for zone in sorted(self._unwritten)]
+        self._unwritten.clear()
+        return out
+
+    def not_written(self, puts: list[Put]) -> None:
+        """These were refused, or nobody knows: again."""
+        for put in puts:
+            zone = self._state.zones.find(put.key[len(record.key("")) :])
+            if zone is not None:
+                self._unwritten.add(zone)
+
+    def _encoded(self, zone: int) -> object:
+        state = self._state
+        status = self.statuses[zone]
+        losses = self.losses.setdefault(zone, [])
+        del losses[: -record.MOST_LOSSES]
+        offset = state.wall() - state.clock()
+        found = record.ZoneRecord(
+            state.zones[zone], status.state.value, status.since + offset, status.flaps,
+            [fates.record() for fates in losses],
+        )  # fmt: skip
+        return record.encode(found, state.limits.value_bytes)
--- /dev/null
+++ b/bayford/recovery/fates.py
@@ -0,0 +1,75 @@
+"""What becomes of the tasks that were in a zone when it was lost. Pure."""
+
+from dataclasses import dataclass, field
+
+from bayford.recovery.record import Elsewhere, Loss
+from bayford.storage.ledger import ranges, unrange
+
+TaskKey = tuple[str, int]  # job, number of the task
+
+
+@dataclass(slots=True)
+class Fates:
+    """One loss, task by task. Each task has exactly one fate at any time."""
+
+    suspected: float  # time of day, as all of these
+    lost: float = 0.0
+    returned: float = 0.0
+    open: set[TaskKey] = field(default_factory=set)
+    finished: set[TaskKey] = field(default_factory=set)
+    again: dict[TaskKey, str] = field(default_factory=dict)
+    cancelled: set[TaskKey] = field(default_factory=set)
+
+    def note_done(self, key: TaskKey) -> bool:
+        """An attempt of the task that was there has ended well; whether that is news."""
+        if key not in self.open:
+            return False
+        self.open.discard(key)
+        self.finished.add(key)
+        return True
+
+    def note_placed(self, key: TaskKey, machine: str) -> bool:
+        """The task has been placed once more; whether that is news."""
+        if key not in self.open:
+            return False
+        self.open.discard(key)
+        self.again[key] = machine
+        return True
+
+    def note_cancelled(self, key: TaskKey) -> bool:
+        """The task's job is cancelled and nothing of it is left there; whether that is news."""
+        if key not in self.open:
+            return False
+        self.open.discard(key)
+        self.cancelled.add(key)
+        return True
+
+    def record(self) -> Loss:
+        """As it is stored."""
+        again: dict[str, list[Elsewhere]] = {}
+        for (job, task), machine in sorted(self.again.items()):
+            again.setdefault(job, []).append(Elsewhere(task, machine))
+        return Loss(
+            self.suspected, self.lost, self.returned, _by_job(self.open), _by_job(self.finished), again,
+            _by_job(self.cancelled),
+        )  # fmt: skip
+
+    @staticmethod
+    def of(loss: Loss) -> "Fates":
+        """From what is stored."""
+        return Fates(
+            loss.suspected, loss.lost, loss.returned, _keys(loss.open), _keys(loss.finished),
+            {(job, e.task): e.machine for job, found in loss.again.items() for e in found},
+            _keys(loss.cancelled),
+        )  # fmt: skip
+
+
+def _by_job(keys: set[TaskKey]) -> dict[str, list[int]]:
+    jobs: dict[str, list[int]] = {}
+    for job, task in keys:
+        jobs.setdefault(job, []).append(task)
+    return {job: ranges(tasks) for job, tasks in sorted(jobs.items())}
+
+
+def _keys(jobs: dict[str, list[int]]) -> set[TaskKey]:
+    return {(job, task) for job, flat in jobs.items() for task in unrange(flat)}
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -64,3 +64,9 @@
     spread_restarts: Mapping[str, int] = field(default_factory=dict)
     spread_lossy: tuple[str, ...] = ()
     extra_classes: tuple[str, ...] = ()
+    # loss and return of zones
+    recovery: bool = False
+    recovery_least: int = 3
+    recovery_settle_leases: float = 1.0
+    recovery_flap_memory_s: float = 600.0
+    return_order: tuple[str, ...] = ()
--- a/bayford/script.py
+++ b/bayford/script.py
@@ -110,7 +110,14 @@
 def _check_classes(name: str, policy: Policy, settings: Settings) -> None:
     """Settings by class name classes of the deployment: those of its aims, and `extra_classes`."""
     known = {*known_classes(settings), *policy.extra_classes}
-    for field, named in (("spread_restarts", policy.spread_restarts), ("spread_lossy", policy.spread_lossy)):
+    if len(set(policy.return_order)) != len(policy.return_order):
+        raise SettingsError(f"{name}: return_order: names a class twice")
+    by_class = {
+        "spread_restarts": policy.spread_restarts,
+        "spread_lossy": policy.spread_lossy,
+        "return_order": policy.return_order,
+    }
+    for field, named in by_class.items():
         for job_class in named:
             if job_class not in known:
                 raise SettingsError(f"{name}: {field}: {job_class!r} is no class of this deployment")
--- a/bayford/storage/records.py
+++ b/bayford/storage/records.py
@@ -22,6 +22,7 @@
     "b/layout"  # the size of a value that the ledger was laid out for; the first release knows no such key
 )
 MAP = "b/map"
+ZONES = "b/zone/"  # state and losses of a zone; from release 3 on
 MOVES = "b/moves/"  # restarts by moves, a key for each job that was ever moved; from release 3 on
 MEMBERS = "b/member/"
 RELAYS = "b/relay/"
--- a/deploy/all-parts.star
+++ b/deploy/all-parts.star
@@ -5,3 +5,4 @@
 
 spread = True
 spread_restarts = {name: 2 for name in site["classes"]}
+recovery = True
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -67,3 +67,10 @@
 # spread_restarts = {}       # {"CLASS": 2, ...}
 # spread_lossy = []          # classes whose tasks may be moved although they can't save
 # extra_classes = []         # classes of jobs that no aim of the deployment names, so that settings may
+
+# --- loss and return of zones (docs/zone-recovery.md); off here: that page has the figures that decided it
+# recovery = False           # tell a lost zone, close it, and bring work back in order
+# recovery_least = 3         # a zone of fewer machines is never told from single lost ones
+# recovery_settle_leases = 1.0  # leases that a zone must answer for until it is up; twice as many after each flap
+# recovery_flap_memory_s = 600.0  # a loss so soon after the one before counts as a flap
+# return_order = []          # classes in the order in which they come back; others follow by priority
--- /dev/null
+++ b/standins/history.py
@@ -0,0 +1,50 @@
+"""Checks of a history of what ran, and of what users were told."""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+
+from standins.workers import Event
+
+
+def ran_twice(history: Iterable[Event]) -> list[str]:
+    """Tasks that began to run while an attempt of them ran."""
+    running: dict[str, tuple[int, str]] = {}
+    out = []
+    for event in history:
+        attempt = (event.number, event.machine)
+        if event.what == "running":
+            if event.part in running:
+                out.append(event.part)
+            running[event.part] = attempt
+        elif running.get(event.part) == attempt:
+            del running[event.part]
+    return out
+
+
+def not_done_once(history: Iterable[Event], parts: Iterable[str]) -> list[str]:
+    """Of these tasks the ones that did not complete, or completed more than once."""
+    done = Counter(event.part for event in history if event.what == "done")
+    return [part for part in parts if done[part] != 1]
+
+
+def without_one_answer(answers: Mapping[str, Mapping[str, str | None]], final: str) -> list[str]:
+    """Jobs of which not every controller gives this one final answer. `answers`: by job and controller."""
+    return [job for job, told in answers.items() if not told or set(told.values()) != {final}]
+
+
+def out_of_order(history: Iterable[Event], machines: Iterable[str], jobs: Sequence[str]) -> list[str]:
+    """Jobs of which a task was placed on these machines before one of the job that comes before it there.
+
+    Attempts are numbered in the order in which they are placed.
+    """
+    there = set(machines)
+    numbers: dict[str, list[int]] = {job: [] for job in jobs}
+    for event in history:
+        job = event.part.partition("/")[0]
+        if event.machine in there and event.what == "running" and job in numbers:
+            numbers[job].append(event.number)
+    out = []
+    for before, after in zip(jobs, jobs[1:], strict=False):
+        if not numbers[before] or not numbers[after] or max(numbers[before]) >= min(numbers[after]):
+            out.append(after)
+    return out
--- a/standins/site.py
+++ b/standins/site.py
@@ -13,11 +13,10 @@
 
 ZONES = ["north", "south"]
 KIND = MachineKind("eight", 8.0, 64.0)
-LEASE_S = 12.0
-FACTS = f"""
+FACTS = """
 [facts]
 nodes = 3
-zones = {ZONES}
+zones = ["north", "south"]
 [[facts.teams]]
 name = "builders"
 [[facts.objectives]]
@@ -29,9 +28,9 @@
 class = "mirror-trickle"
 within_s = 600.0
 [facts.workers]
-report_s = 2.0
-lease_s = {LEASE_S}
-cancel_s = 42.0
+report_s = {report_s}
+lease_s = {lease_s}
+cancel_s = {cancel_s}
 [facts.state]
 rps = 100.0
 write_rps = 15.0
@@ -48,11 +47,12 @@
 class Site:
     """Everything together, for a `with` statement."""
 
-    def __init__(self, folder: Path, script: str, capacity: int = 20) -> None:
+    def __init__(self, folder: Path, script: str, capacity: int = 20, lease_s: float = 12.0) -> None:
         names = {"n0": "north", "n1": "south", "n2": "north"}
-        self.controllers = Controllers(folder, names, FACTS, script)
+        facts = FACTS.format(report_s=lease_s / 6, lease_s=lease_s, cancel_s=lease_s * 3.5)
+        self.controllers = Controllers(folder, names, facts, script)
         self.state = StateService()
-        self.fleet = WorkerFleet(self.controllers.fronts, report_s=2.0, lease_s=LEASE_S)
+        self.fleet = WorkerFleet(self.controllers.fronts, report_s=lease_s / 6, lease_s=lease_s)
         self.cloud = Cloud(self.fleet, [KIND], ZONES, capacity)
 
     def __enter__(self) -> "Site":
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -104,6 +104,13 @@
         self.jobs[job["id"]] = job
         self.run_s[job["id"]] = run_s
 
+    def cut_zone(self, zone: str, away: bool) -> None:
+        """Cut the machines of a zone from everybody, or bring them back. They run on meanwhile."""
+        for worker in list(self.workers.values()):
+            if worker.zone == zone:
+                worker.controls.mute = away
+                worker.refuse_commands(away)
+
     def close(self) -> None:
         """End all."""
         for name in list(self.workers):
@@ -151,6 +158,10 @@
         with self._lock:
             self._lose_all()
 
+    def refuse_commands(self, refuse: bool) -> None:
+        """Whether direct commands get through to this machine."""
+        self._service.controls.down = refuse
+
     def age_s(self) -> float:
         """Since it was rented."""
         return time.monotonic() - self._began
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -1,9 +1,12 @@
 """Real controllers, stand-in workers, cloud and state service over loopback sockets."""
 
-import collections
 import math
 from pathlib import Path
 
+import pytest
+
+from bayford.recovery.record import decode, key
+from standins.history import not_done_once, out_of_order, ran_twice, without_one_answer
 from standins.site import KIND, Site, await_state, job
 from standins.workers import Event
 
@@ -15,21 +18,6 @@
 IMAGES = ["img-0", "img-1", "img-2"]
 
 
-def ran_twice(history: list[Event]) -> list[str]:
-    """Tasks that began to run while they ran."""
-    running: dict[str, tuple[int, str]] = {}
-    out = []
-    for event in history:
-        attempt = (event.number, event.machine)
-        if event.what == "running":
-            if event.part in running:
-                out.append(event.part)
-            running[event.part] = attempt
-        elif running.get(event.part) == attempt:
-            del running[event.part]
-    return out
-
-
 def test_a_burst_whose_images_lie_on_three_machines_is_spread_and_ends_once(tmp_path):
     with Site(tmp_path, ALL_PARTS + KEEP_IDLE, MACHINES) as site:
         for n in range(MACHINES):
@@ -65,10 +53,101 @@
             site.fleet.run_s[name] = 0.0
         await_state(lambda: all(set(site.phases(name).values()) == {"done"} for name in names), "the end")
         history = list(site.fleet.history)
-        done = collections.Counter(e.part for e in history if e.what == "done" and e.part[:10] in names)
-        assert done == {f"{name}/{task}": 1 for name in names for task in range(TASKS)}
+        assert not_done_once(history, [f"{name}/{task}" for name in names for task in range(TASKS)]) == []
         assert ran_twice(history) == []
         for n in range(JOBS):
             status, body = site.controllers.ask("n0", "POST", "/api/jobs", job(n, IMAGES[n % 3], TASKS))
             assert (status, body["phase"]) == (200, "done"), "a repeated submission gets the one final answer"
         assert any("tasks on" in site.controllers.log(name) for name in site.controllers.fronts)
+
+
+A, B = Event("req-1/0", 1, "vm-1", "running"), Event("req-1/0", 2, "vm-2", "running")
+A_DONE, B_DONE = Event("req-1/0", 1, "vm-1", "done"), Event("req-1/0", 2, "vm-2", "done")
+A_LOST = Event("req-1/0", 1, "vm-1", "lost")
+LATER = Event("req-2/0", 3, "vm-2", "running")
+
+
+@pytest.mark.parametrize(
+    ("history", "twice", "not_once", "order"),
+    [
+        ([A, A_LOST, B, B_DONE, LATER], [], [], []),
+        ([A, B, A_LOST, B_DONE, LATER], ["req-1/0"], [], []),  # a second attempt beside the first
+        ([A, A_DONE, B, B_DONE, LATER], [], ["req-1/0"], []),  # two ends
+        ([A, A_LOST, B, LATER], [], ["req-1/0"], []),  # no end
+        ([A, A_LOST, Event("req-2/0", 1, "vm-2", "running"), B, B_DONE], [], [], ["req-2"]),  # too early
+        ([A, A_DONE, LATER], [], [], ["req-2"]),  # the first never came back there
+    ],
+)
+def test_the_checks_of_histories_find_what_is_wrong(history, twice, not_once, order):
+    assert ran_twice(history) == twice
+    assert not_done_once(history, ["req-1/0"]) == not_once
+    assert out_of_order(history, ["vm-2"], ["req-1", "req-2"]) == order
+
+
+@pytest.mark.parametrize(
+    ("told", "wrong"),
+    [
+        ({"n0": "done", "n1": "done"}, []),
+        ({"n0": "done", "n1": "running"}, ["req-1"]),
+        ({"n0": "done", "n1": "aborted"}, ["req-1"]),
+        ({"n0": "done", "n1": None}, ["req-1"]),
+        ({}, ["req-1"]),
+    ],
+)
+def test_the_check_of_answers_finds_what_is_wrong(told, wrong):
+    assert without_one_answer({"req-1": told}, "done") == wrong
+
+
+RECOVER = (
+    'recovery = True\nextra_classes = ["rebuild-sweep"]\nreturn_order = ["hot-builds", "rebuild-sweep"]\n'
+)
+
+
+def test_a_zone_that_is_cut_away_flaps_and_returns_has_one_answer_for_each_job(tmp_path):
+    """Its owner ends meanwhile; jobs bound to the zone come back in the stated order."""
+    with Site(tmp_path, RECOVER + KEEP_IDLE, 12, lease_s=6.0) as site:
+        for n in range(12):
+            site.fleet.begin(KIND, "south" if n % 2 else "north", True)
+
+        def south() -> list[str]:
+            return [name for name, worker in site.fleet.workers.items() if worker.zone == "south"]
+
+        def state() -> str:
+            found = site.state.values("b/zone/").get(key("south"))
+            return decode(found).state if found is not None else "up"
+
+        site.submit(job(0, "img-0", 48, "mirror-trickle"), run_s=math.inf)
+        await_state(lambda: sum(site.fleet.loads().values()) == 6.0, "all tasks are there")
+        site.fleet.cut_zone("south", away=True)
+        await_state(lambda: state() == "lost", "the loss is told")
+        bound = {"yard": "south", "rank": "normal"}
+        for number, name in ((1, "mirror-trickle"), (2, "rebuild-sweep"), (3, "hot-builds")):
+            site.submit(job(number, f"img-{number}", 6, name, **bound), run_s=math.inf)
+        owner = site.owner()
+        assert owner is not None
+        site.controllers.kill(owner)
+        await_state(lambda: site.owner() not in (None, owner), "another owner")
+        site.start(owner)
+        for away in (False, True, False):  # it flaps
+            site.fleet.cut_zone("south", away)
+        names = [f"req-{n:06d}" for n in range(4)]
+        parts = [f"{names[0]}/{n}" for n in range(48)]
+        parts += [f"{name}/{n}" for name in names[1:] for n in range(6)]
+
+        def running() -> set[str]:
+            workers = list(site.fleet.workers.values())
+            return {a.part for w in workers for a in list(w.tasks.values()) if a.phase == "running"}
+
+        await_state(lambda: running() == set(parts), "everything runs again")
+        await_state(lambda: state() == "up", "the zone is up")
+        assert out_of_order(site.fleet.history, south(), [names[3], names[2], names[1]]) == []
+        for name in names:
+            site.fleet.run_s[name] = 0.0
+        await_state(lambda: all(set(site.phases(name).values()) == {"done"} for name in names), "the end")
+        history = list(site.fleet.history)
+        assert ran_twice(history) == [] and not_done_once(history, parts) == []
+        assert without_one_answer({name: site.phases(name) for name in names}, "done") == []
+        status, body = site.controllers.ask("n0", "POST", "/api/jobs", job(0, "img-0", 48, "mirror-trickle"))
+        assert (status, body["phase"]) == (200, "done")
+        losses = decode(site.state.values("b/zone/")[key("south")]).losses
+        assert losses and all(loss.totals()["open"] == 0 for loss in losses)
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,585 @@
+"""Loss and return of zones: the state machine, the records, and the owner in the simulated cluster."""
+
+import json
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+from test_stories import running, wait
+from world import World
+
+from bayford import cli
+from bayford.recovery import record, report, return_order
+from bayford.recovery.fates import Fates
+from bayford.recovery.zone_health import (
+    HealthTimes,
+    OwnerFacts,
+    ZoneFacts,
+    ZoneState,
+    ZoneStatus,
+    advance,
+    blindness,
+)
+from bayford.scheduling.model import Machine
+from bayford.scheduling.policy import Policy
+from bayford.storage import records
+
+RECOVER = Policy(
+    hold_s=0.0, hold_idle_s=0.0, recovery=True, return_order=("hot", "sweep"), extra_classes=("hot", "sweep"),
+    keep_idle_s=1e6, surplus_idle_s=1e6, dear_idle_s=1e6,
+)  # fmt: skip
+TIMES = HealthTimes(lease_s=12.0, report_s=2.0)
+SURE = OwnerFacts(True, True, 100.0)
+WELL, SILENT = ZoneFacts(8, 8, 8), ZoneFacts(8, 0, 0)
+NORTH, SOUTH, WEST = 0, 1, 2
+
+
+# -- the state machine
+
+
+def play(
+    looks: list[tuple[float, ZoneFacts]], owner: OwnerFacts = SURE, others: ZoneFacts = WELL
+) -> list[ZoneStatus]:
+    status = ZoneStatus()
+    out = []
+    for now, facts in looks:
+        unknown = blindness(owner, {NORTH: others, SOUTH: facts}, SOUTH, TIMES)
+        status = advance(status, facts, unknown, now, TIMES)
+        out.append(status)
+    return out
+
+
+def test_a_zone_is_lost_after_its_leases_and_up_after_it_has_settled():
+    looks = [
+        (0.0, WELL),
+        (10.0, SILENT),
+        (23.0, SILENT),
+        (24.0, SILENT),
+        (60.0, WELL),
+        (71.0, WELL),
+        (72.0, WELL),
+    ]
+    assert [s.state.value for s in play(looks)] == [
+        "up", "suspect", "suspect", "lost", "returning", "returning", "up",
+    ]  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("owner", "others"),
+    [
+        (OwnerFacts(False, True, 100.0), WELL),  # not sure to be the owner
+        (OwnerFacts(True, False, 100.0), WELL),  # the state service is out
+        (OwnerFacts(True, True, 3.0), WELL),  # it has just begun to listen, or stood still
+        (SURE, SILENT),  # nobody is heard: it is this owner that is cut off
+        (SURE, ZoneFacts(0, 0, 0)),  # a site of one zone
+    ],
+)
+def test_who_cannot_know_does_nothing(owner, others):
+    assert {s.state for s in play([(t, SILENT) for t in (0.0, 10.0, 30.0, 300.0)], owner, others)} == {
+        ZoneState.UP
+    }
+
+
+@pytest.mark.parametrize("facts", [ZoneFacts(8, 3, 3), ZoneFacts(2, 0, 0)])
+def test_single_lost_machines_are_not_a_lost_zone(facts):
+    assert {s.state for s in play([(t, facts) for t in (0.0, 30.0, 300.0)])} == {ZoneState.UP}
+
+
+def test_a_zone_that_flaps_takes_longer_to_be_up_each_time():
+    looks = [
+        (0.0, WELL),
+        (5.0, SILENT),
+        (10.0, WELL),
+        (20.0, SILENT),
+        (25.0, WELL),
+        (40.0, WELL),
+        (49.0, WELL),
+    ]
+    states = [(s.state.value, s.flaps) for s in play(looks)]
+    assert states == [
+        ("up", 0), ("suspect", 0), ("up", 0), ("suspect", 1), ("returning", 1), ("returning", 1), ("up", 1),
+    ]  # fmt: skip
+    assert TIMES.settle_s(2) == 2 * TIMES.settle_s(1) == 4 * TIMES.lease_s
+
+
+def test_two_zones_lost_one_after_the_other():
+    zones = {NORTH: WELL, SOUTH: SILENT, WEST: WELL}
+    assert blindness(SURE, zones, SOUTH, TIMES) == ""
+    zones[WEST] = SILENT
+    assert blindness(SURE, zones, WEST, TIMES) == blindness(SURE, zones, SOUTH, TIMES) == ""
+    zones[NORTH] = SILENT
+    assert "fault may be here" in blindness(SURE, zones, WEST, TIMES)
+
+
+def test_a_zone_without_machines_is_tried_again_after_a_while():
+    status = ZoneStatus(ZoneState.LOST, since=0.0, suspected=-14.0, lost=0.0)
+    nobody = ZoneFacts(0, 0, 0)
+    assert advance(status, nobody, "", 11.0, TIMES).state is ZoneState.LOST
+    assert advance(status, nobody, "", 12.0, TIMES).state is ZoneState.RETURNING
+
+
+# -- order, fates, records
+
+
+def test_named_classes_come_first_and_others_by_priority():
+    cluster = World(policy=RECOVER)
+    for number, lane, rank in (
+        (1, "trickle", "idle"),
+        (2, "sweep", "normal"),
+        (3, "extra", "urgent"),
+        (4, "hot", "idle"),
+    ):
+        cluster.submit("n0", cluster.job(number, lane=lane, rank=rank, parts=1))
+    cluster.nodes["n0"].mirror.pull(0.0)
+    jobs = sorted(
+        cluster.nodes["n0"].engine.jobs.values(), key=lambda job: return_order.rank(job, RECOVER.return_order)
+    )
+    assert [job.spec.job_class for job in jobs] == ["hot", "sweep", "extra", "trickle"]
+    cold = Machine(1, "vm", images={99: False})
+    assert not return_order.fetch_allowed(jobs[0], cold), "one fetch at a time on a cold link"
+    cold.images[99] = True
+    assert return_order.fetch_allowed(jobs[0], cold)
+
+
+fate_events = st.lists(
+    st.tuples(st.sampled_from(["done", "placed", "cancelled"]), st.integers(0, 2), st.integers(0, 4)),
+    max_size=40,
+)
+
+
+@given(st.sets(st.tuples(st.integers(0, 2), st.integers(0, 4))), fate_events, st.integers(500, 4096))
+def test_each_task_has_one_fate_and_the_record_fits_and_comes_back(tasks, events, most):
+    fates = Fates(1.0, 2.0, open={(f"req-{job:06d}", task) for job, task in tasks})
+    for event, job, task in events:
+        key = (f"req-{job:06d}", task)
+        if event == "done":
+            fates.note_done(key)
+        elif event == "placed":
+            fates.note_placed(key, "vm-000001")
+        else:
+            fates.note_cancelled(key)
+    found = [fates.open, fates.finished, set(fates.again), fates.cancelled]
+    assert sum(len(keys) for keys in found) == len(set().union(*found)) == len(tasks)
+    assert Fates.of(fates.record()) == fates
+    losses = [fates.record()] * 12
+    value = record.encode(record.ZoneRecord("north", "lost", 1.0, 0, losses), most)
+    assert records.size(value) <= most
+    last = record.decode(json.loads(json.dumps(value))).losses[-1]
+    assert sum(last.totals().values()) == len(tasks), "told or counted, none is left out"
+
+
+@pytest.mark.parametrize(
+    "stored", [None, [], {"zone": "north"}, {"zone": "n", "state": "up", "since": 1.0, "v": 9}]
+)
+def test_a_record_that_cannot_be_read_is_an_error_and_absent(stored, caplog):
+    with pytest.raises(record.UnreadableRecordError):
+        record.decode(stored)
+    cluster = two_zones()
+    cluster.state._change([records_put("north", stored or 0)])
+    cluster.boot(cluster.owner())
+    wait(cluster, 10.0, fleet=True)
+    assert any("taken for absent" in r.getMessage() for r in caplog.records)
+    cluster.submit("n0", cluster.job(9, crew="open"))
+    wait(cluster, 5.0)
+    assert cluster.query("n0", "req-000009") == "running"
+
+
+def records_put(zone, value):
+    from bayford.storage.store import Put
+
+    return Put(record.key(zone), value)
+
+
+def test_what_operators_read():
+    loss = record.Loss(
+        10.0, 24.0, 0.0, {"req-000001": [0, 2]}, {"req-000002": [1, 1]},
+        {"req-000003": [record.Elsewhere(4, "vm-000009")]}, {"req-000004": [0, 0, 3, 4]},
+    )  # fmt: skip
+    zones = [record.ZoneRecord("south", "lost", 24.0, 1, [loss]), record.ZoneRecord("north", "up", 0.0)]
+    text = report.as_text(zones)
+    for part in (
+        "zone south: lost since 1970-01-01 00:00:24 UTC, 1 flaps", "not back",
+        "8 tasks: 1 finished there, 1 run again, 3 cancelled, 3 open", "req-000003 run again: 4 on vm-000009",
+        "req-000001 open: 0-2", "req-000004 cancelled: 0, 3-4", "zone north: up", "never lost",
+    ):  # fmt: skip
+        assert part in text
+    assert json.loads(report.as_json(zones))["zones"][0]["losses"][0]["totals"]["again"] == 1
+    assert report.as_text([]) == "no zone was ever lost"
+
+
+def test_the_command_says_when_the_state_service_is_out(tmp_path, capsys):
+    from test_config import GOOD
+
+    path = tmp_path / "settings.toml"
+    path.write_text(GOOD)
+    assert cli.main(["zones", "--config", str(path)]) == 1
+    assert "state service at 127.0.0.1:5 is out" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("line", "field"),
+    [
+        ('return_order = ["seep"]', "return_order: 'seep'"),
+        ('extra_classes = ["hot"]\nreturn_order = ["hot", "hot"]', "return_order"),
+        ("recovery_settle_leases = -1.0", "recovery_settle_leases"),
+        ("recovery_flap_memory_s = -1.0", "recovery_flap_memory_s"),
+        ("recovery_least = 1.5", "recovery_least"),
+    ],
+)
+def test_a_wrong_setting_of_recovery_is_named(line, field, tmp_path, capsys):
+    from test_config import GOOD
+
+    settings, script = tmp_path / "settings.toml", tmp_path / "p.star"
+    settings.write_text(GOOD)
+    script.write_text(line + "\n")
+    assert cli.main(["check-config", "--config", str(settings), "--script", str(script)]) == 2
+    assert field in capsys.readouterr().err
+
+
+# -- the owner
+
+
+def two_zones(machines: int = 8, nodes: int = 3, seed: int = 1) -> World:
+    """Machines in two zones, and an owner in the north."""
+    cluster = World(nodes, policy=RECOVER, seed=seed)
+    cluster.capacity = 0
+    for n in range(machines):
+        cluster.machine(zone="south" if n % 2 else "north")
+    wait(cluster, 16.0)  # for longer than a lease: an owner that has just begun can't know
+    return cluster
+
+
+def cut_zone(cluster: World, zone: str = "south") -> None:
+    """The zone's machines reach nobody and nobody reaches them."""
+    south = [worker.name for worker in cluster.workers.values() if worker.zone == zone]
+    cluster.cut |= {(name, node) for name in south for node in cluster.names}
+
+
+def heal(cluster: World) -> None:
+    cluster.cut.clear()
+
+
+def zone_state(cluster: World, zone: str = "south") -> str:
+    owner = cluster.nodes[cluster.owner()].engine
+    return owner.zone_watch.statuses[owner.zones.find(zone)].state.value
+
+
+def stored(cluster: World, zone: str = "south") -> record.ZoneRecord:
+    return record.decode(cluster.state.rows[record.key(zone)][0])
+
+
+def in_zone(cluster: World, zone: str = "south") -> list[str]:
+    return sorted(part for w in cluster.workers.values() if w.zone == zone for part in w.running())
+
+
+def full_of_work(cluster: World, **fields) -> list[str]:
+    """A job on every CPU; the tasks in the south."""
+    tasks = 4 * len(cluster.workers)
+    cluster.submit("n0", cluster.job(1, **({"crew": "open", "parts": tasks, "guess_s": 900.0} | fields)))
+    wait(cluster, 5.0)
+    assert len(running(cluster)) == tasks
+    return in_zone(cluster)
+
+
+def test_a_zone_is_closed_while_it_is_away_and_every_task_has_one_fate():
+    cluster = two_zones()
+    there = full_of_work(cluster)
+    cut_zone(cluster)
+    wait(cluster, 8.0)
+    assert zone_state(cluster) == "suspect"
+    cluster.submit("n0", cluster.job(2, crew="open", parts=1, yard="south"))
+    wait(cluster, 14.0)
+    assert zone_state(cluster) == "lost"
+    assert stored(cluster).losses[-1].totals()["open"] == len(there)
+    assert cluster.nodes[cluster.owner()].engine.jobs["req-000002"].waiting == [0], "nothing is placed there"
+    heal(cluster)
+    wait(cluster, 50.0)
+    assert zone_state(cluster) == "up"
+    loss = stored(cluster).losses[-1]
+    assert loss.returned > loss.lost > loss.suspected
+    assert loss.totals() == {"open": 0, "finished": 0, "cancelled": 0, "again": len(there)}
+    assert len(set(running(cluster))) == len(running(cluster))
+
+
+def test_cancelled_during_the_cut():
+    cluster = two_zones()
+    there = full_of_work(cluster)
+    cut_zone(cluster)
+    wait(cluster, 22.0)
+    assert cluster.cancel("n0", "req-000001") == "aborted"
+    wait(cluster, 30.0)  # the machines' sessions have ended, the silent ones are deleted
+    heal(cluster)
+    wait(cluster, 60.0)
+    assert running(cluster) == []
+    assert stored(cluster).losses[-1].totals()["cancelled"] == len(there)
+
+
+@pytest.mark.parametrize("when", ["before", "during", "after"])
+def test_a_task_that_ends_on_a_machine_that_was_declared_lost(when):
+    """Its report comes before the task is requeued, while it waits, or after another attempt has ended."""
+    cluster = two_zones()
+    there = full_of_work(cluster)
+    part = there[0]
+    worker = next(w for w in cluster.workers.values() if part in w.running())
+    cut_zone(cluster)
+    wait(cluster, 8.0)
+    worker.finish(part)
+    cluster.done_tasks.add(part)
+    late = worker.report()
+    wait(cluster, {"before": 4.0, "during": 34.0, "after": 34.0}[when])
+    if when == "after":
+        heal(cluster)
+        for _ in range(4):  # room for what was lost
+            cluster.machine(zone="north")
+        wait(cluster, 30.0)
+        cluster.finish(part)
+        wait(cluster, 4.0)
+    cluster.replay(late, cluster.owner())
+    wait(cluster, 4.0)
+    heal(cluster)
+    wait(cluster, 40.0)
+    owner = cluster.nodes[cluster.owner()].engine
+    if when == "during":
+        assert worker.name in cluster.deleted, (
+            "its machine is gone by then, and what it says counts for nothing"
+        )
+    job = owner.jobs["req-000001"]
+    task = int(part.split("/")[1])
+    assert task not in job.open or task not in job.done
+    assert len(set(running(cluster))) == len(running(cluster))
+
+
+def test_late_copies_after_the_return_open_and_close_nothing():
+    cluster = two_zones()
+    full_of_work(cluster)
+    copies = [worker.report() for worker in cluster.workers.values()]
+    cut_zone(cluster)
+    wait(cluster, 22.0)
+    heal(cluster)
+    wait(cluster, 6.0)
+    before = running(cluster), zone_state(cluster)
+    for copy in copies:
+        cluster.replay(copy, cluster.owner())
+    engine = cluster.nodes[cluster.owner()].engine
+    engine.round()
+    assert (running(cluster), zone_state(cluster)) == before
+    assert len(running(cluster)) == len(set(running(cluster)))
+
+
+def test_the_owner_ends_in_the_middle_of_the_return():
+    cluster = two_zones()
+    there = full_of_work(cluster)
+    cut_zone(cluster)
+    wait(cluster, 22.0)
+    assert zone_state(cluster) == "lost"
+    heal(cluster)
+    wait(cluster, 4.0)
+    first = cluster.owner()
+    del cluster.nodes[first]
+    wait(cluster, 5.0)
+    assert cluster.owner() not in (None, first)
+    assert zone_state(cluster) in ("lost", "returning"), "the new owner goes on with what is stored"
+    wait(cluster, 60.0)
+    assert zone_state(cluster) == "up"
+    totals = stored(cluster).losses[-1].totals()
+    assert totals["open"] == 0 and sum(totals.values()) == len(there)
+    assert len(running(cluster)) == len(set(running(cluster))) == 4 * len(cluster.workers)
+
+
+def test_an_owner_in_the_lost_zone_gives_way_and_the_next_one_tells_the_loss():
+    cluster = two_zones()
+    full_of_work(cluster)
+    owner = cluster.owner()
+    zone = cluster.nodes[owner].settings.site
+    cut_zone(cluster, zone)
+    for name, node in cluster.nodes.items():
+        if node.settings.site == zone:
+            cluster.state.lost.add(name)
+            cluster.mesh_cut.add(name)
+            cluster.cut |= {(worker, name) for worker in cluster.workers}
+    wait(cluster, 50.0)
+    others = [name for name, node in cluster.nodes.items() if node.settings.site != zone]
+    for name in others:
+        if cluster.nodes[name].engine.owner:
+            watch = cluster.nodes[name].engine.zone_watch
+            lost = cluster.nodes[name].engine.zones.find(zone)
+            assert watch.statuses[lost].state is not ZoneState.UP
+            assert sum(watch.losses[lost][0].record().totals().values()) == 16
+            break
+    else:
+        pytest.fail("nobody took over")
+    cluster.state.lost.clear()
+    cluster.mesh_cut.clear()
+    heal(cluster)
+    wait(cluster, 90.0)
+    assert len(running(cluster)) == len(set(running(cluster)))
+
+
+@pytest.mark.parametrize("back_first", [True, False])
+def test_the_state_service_is_out_as_the_zone_returns(back_first):
+    cluster = two_zones()
+    full_of_work(cluster)
+    cut_zone(cluster)
+    wait(cluster, 22.0)
+    assert zone_state(cluster) == "lost"
+    cluster.state.down = True
+    wait(cluster, 4.0)
+    if back_first:
+        heal(cluster)
+        wait(cluster, 6.0)
+    cluster.state.down = False
+    heal(cluster)
+    wait(cluster, 60.0)
+    assert zone_state(cluster) == "up"
+    assert len(running(cluster)) == len(set(running(cluster))) == 4 * len(cluster.workers)
+
+
+def test_the_cloud_confirms_a_deletion_while_the_machine_still_reports():
+    cluster = two_zones()
+    full_of_work(cluster)
+    ghost = next(w for w in cluster.workers.values() if w.zone == "south")
+    late = ghost.report()
+    cut_zone(cluster)
+    wait(cluster, 40.0)
+    assert ghost.name in cluster.deleted
+    before = cluster.nodes[cluster.owner()].engine.machines.keys()
+    cluster.replay(late, cluster.owner())
+    assert ghost.name not in {cluster.nodes[cluster.owner()].engine.machines_by[i] for i in before}
+
+
+def test_services_bound_to_the_zone_and_gangs_with_a_part_inside():
+    cluster = two_zones()
+    cluster.submit("n0", cluster.daemon(1, crew="open", parts=2, yard="south", loaners=True))
+    cluster.submit("n0", cluster.job(2, crew="open", shape="gang", parts=6, guess_s=900.0))
+    wait(cluster, 8.0)
+    placed = len(running(cluster))
+    assert placed >= 2
+    cut_zone(cluster)
+    wait(cluster, 22.0)
+    assert [p for p in running(cluster) if p not in in_zone(cluster) and p.startswith("req-000001")] == []
+    heal(cluster)
+    wait(cluster, 60.0)
+    assert {p for p in running(cluster) if p.startswith("req-000001")} == {"req-000001/0", "req-000001/1"}
+    assert set(in_zone(cluster)) >= {"req-000001/0", "req-000001/1"}
+
+
+def test_work_comes_back_in_the_stated_order_and_nobody_is_starved():
+    cluster = two_zones()
+    full_of_work(cluster)
+    cut_zone(cluster)
+    wait(cluster, 36.0)  # until its machines are deleted
+    assert zone_state(cluster) in ("lost", "returning")
+    for number, lane in ((2, "trickle"), (3, "sweep"), (4, "hot")):
+        cluster.submit(
+            "n0",
+            cluster.job(
+                number, lane=lane, crew="open", parts=4, guess_s=900.0, yard="south", bundle=f"img-{lane}"
+            ),
+        )
+    heal(cluster)
+    cluster.capacity = 0
+    for _ in range(2):  # room for two of the three
+        cluster.machine(zone="south")
+    wait(cluster, 16.0)
+    assert {part[:10] for part in in_zone(cluster)} == {"req-000004", "req-000003"}, "hot, then sweep"
+    jobs = cluster.nodes[cluster.owner()].engine.jobs
+    hot, sweep = (
+        [place.attempt for place in jobs[name].open.values()] for name in ("req-000004", "req-000003")
+    )
+    assert max(hot) < min(sweep)
+    for part in in_zone(cluster):
+        if part.startswith("req-000004"):
+            cluster.finish(part)
+    wait(cluster, 20.0)
+    assert {part[:10] for part in in_zone(cluster)} == {"req-000003", "req-000002"}, "nobody is starved"
+
+
+# -- whatever happens
+
+
+class ZonesUnderTrouble(RuleBasedStateMachine):
+    """Random cuts, returns, reports, copies, cancels and takeovers; the rules are checked at each step."""
+
+    @initialize(seed=st.integers(0, 1000))
+    def begin(self, seed):
+        self.cluster = two_zones(machines=6, seed=seed)
+        self.copies = []
+        self.number = 0
+        self.rng = random.Random(seed)
+
+    @rule(
+        parts=st.integers(1, 8),
+        lane=st.sampled_from(["hot", "sweep", "trickle"]),
+        yard=st.sampled_from([None, "south"]),
+    )
+    def submit(self, parts, lane, yard):
+        self.number += 1
+        job = self.cluster.job(self.number, crew="open", parts=parts, lane=lane, yard=yard, guess_s=900.0)
+        self.cluster.submit(self.rng.choice(sorted(self.cluster.nodes)), job)
+
+    @rule(zone=st.sampled_from(["south", "north"]))
+    def cut(self, zone):
+        cut_zone(self.cluster, zone)
+
+    @rule()
+    def heal(self):
+        heal(self.cluster)
+
+    @rule()
+    def copy_reports(self):
+        self.copies += [worker.report() for worker in self.cluster.workers.values()]
+
+    @precondition(lambda self: self.copies)
+    @rule()
+    def late_copies(self):
+        for copy in self.copies[-6:]:
+            self.cluster.replay(copy, self.rng.choice(sorted(self.cluster.nodes)))
+
+    @precondition(lambda self: self.cluster.accepted)
+    @rule()
+    def cancel(self):
+        self.cluster.cancel("n0", self.rng.choice(sorted(self.cluster.accepted)))
+
+    @rule()
+    def finish_some(self):
+        for part in running(self.cluster)[::3]:
+            self.cluster.finish(part)
+
+    @precondition(lambda self: self.cluster.owner() is not None)
+    @rule()
+    def end_owner(self):
+        self.cluster.boot(self.cluster.owner())
+
+    @rule(seconds=st.sampled_from([1.0, 4.0, 14.0]))
+    def time_passes(self, seconds):
+        wait(self.cluster, seconds)
+
+    @invariant()
+    def rules_hold(self):
+        if not hasattr(self, "cluster"):
+            return
+        self.cluster.check()
+        assert len(running(self.cluster)) == len(set(running(self.cluster)))
+        owner = self.cluster.owner()
+        if owner is None:
+            return
+        engine = self.cluster.nodes[owner].engine
+        for losses in engine.zone_watch.losses.values():
+            for fates in losses:
+                sets = [fates.open, fates.finished, set(fates.again), fates.cancelled]
+                assert sum(len(found) for found in sets) == len(set().union(*sets))
+
+    def teardown(self):
+        if hasattr(self, "cluster"):
+            heal(self.cluster)
+            wait(self.cluster, 90.0)
+            for job_id in sorted(self.cluster.accepted):
+                assert self.cluster.query("n0", job_id) is not None, "known to the end"
+
+
+TestZonesUnderTrouble = ZonesUnderTrouble.TestCase
+TestZonesUnderTrouble.settings = __import__("hypothesis").settings(
+    max_examples=12, stateful_step_count=16, deadline=None, derandomize=True, database=None
+)
--- a/tests/world.py
+++ b/tests/world.py
@@ -538,6 +538,8 @@
         if not node.engine.owner or name in self.frozen:
             return
         self.try_(node.cloud_calls.list_step)
+        if node.engine.policy.recovery:
+            self.try_(node.watch_zones)
         step = node.fleet_once()
         for rental in step.rentals:
             node.cloud_calls.rent(rental)
