--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -22,6 +22,7 @@
     advance,
     blindness,
 )
+from bayford.scheduling import fleet
 from bayford.scheduling.model import Machine
 from bayford.scheduling.policy import Policy
 from bayford.storage import records
@@ -303,6 +304,52 @@
     assert len(set(running(cluster))) == len(running(cluster))
 
 
+def test_nothing_is_placed_where_a_zone_is_suspect_and_only_on_machines_that_are_surely_back():
+    cluster = two_zones()
+    cut_zone(cluster)
+    wait(cluster, 7.0)
+    assert zone_state(cluster) == "suspect"
+    cluster.submit("n0", cluster.job(2, crew="open", parts=2, yard="south"))
+    wait(cluster, 14.0)
+    engine = cluster.nodes[cluster.owner()].engine
+    assert zone_state(cluster) == "lost"
+    assert engine.jobs["req-000002"].open == {}, (
+        "there is room on machines that nobody has heard of for a while"
+    )
+    heal(cluster)
+    while zone_state(cluster) == "lost":
+        wait(cluster, 0.5)
+    assert zone_state(cluster) == "returning" and not engine.verified_machines
+    engine.round()
+    assert engine.jobs["req-000002"].open == {}, "one report may have been held back by the cut"
+    wait(cluster, 6.0)
+    assert len(in_zone(cluster)) == 2
+
+
+def test_only_a_few_machines_are_rented_into_a_zone_of_which_nothing_answers():
+    cluster = two_zones()
+    engine = cluster.nodes[cluster.owner()].engine
+    engine.returning_zones = frozenset({engine.zones.find("south")})
+    gone = [m for m in engine.machines.values() if m.zone not in engine.returning_zones]
+    present = [(fleet.Option(m.type, m.zone, m.spot), m) for m in gone]
+    south, north = (fleet.Option(0, engine.zones.find(name), True) for name in ("south", "north"))
+    wanted = [fleet.Rental(south, 20, "backlog"), fleet.Rental(north, 20, "backlog")]
+    assert [r.count for r in engine._paced(wanted, present)] == [RECOVER.recovery_least, 20]
+    engine.renting[south] = 2
+    assert [r.count for r in engine._paced(wanted, present)] == [1, 20]
+    engine.verified_machines = frozenset({next(m.index for m in engine.machines.values() if m not in gone)})
+    present += [(south, engine.machines[index]) for index in engine.verified_machines]
+    assert [r.count for r in engine._paced(wanted, present)] == [20, 20]
+
+    engine.verified_machines = frozenset()
+    engine.renting.clear()
+    engine.deleted([m.name for m in engine.machines.values() if m.zone == south.zone])
+    cluster.submit("n0", cluster.job(1, crew="open", parts=80, guess_s=900.0, yard="south"))
+    cluster.nodes[cluster.owner()].mirror.pull(0.0)
+    step = engine.fleet_step(cluster.clock.now)
+    assert [(order.zone, order.count) for order in step.rentals] == [("south", RECOVER.recovery_least)]
+
+
 def test_cancelled_during_the_cut():
     cluster = two_zones()
     there = full_of_work(cluster)
