--- a/bayford/coordination/autoscaler.py
+++ b/bayford/coordination/autoscaler.py
@@ -3,7 +3,7 @@
 import dataclasses
 import logging
 import math
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from bayford.coordination.scheduling_round import SchedulingRound
@@ -89,10 +89,11 @@
         if entry.phase == "failed":
             machine.quarantined = machine.lost = True
 
-    def watch_zones(self, owner: OwnerFacts) -> list[Put]:
-        """Take the state of the zones in; the records to write now."""
+    def watch_zones(self, owner: OwnerFacts, controllers: Mapping[str, str]) -> list[Put]:
+        """Take the state of the zones in; the records to write now. `controllers`: who of each zone is in
+        reach, in words."""
         with self.lock:
-            self.zone_watch.look(owner)
+            self.zone_watch.look(owner, controllers)
             return self.zone_watch.puts()
 
     def zones_not_written(self, puts: list[Put]) -> None:
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -535,7 +535,7 @@
         facts = OwnerFacts(
             self.sure_owner(), self._served(), now - max(self._listening, self.stalls.resumed_at())
         )
-        puts = self.engine.watch_zones(facts)
+        puts = self.engine.watch_zones(facts, self._reach_by_zone())
         if not puts:
             return
         try:
@@ -546,6 +546,15 @@
             self.engine.zones_not_written(puts)
             raise
 
+    def _reach_by_zone(self) -> dict[str, str]:
+        """Of each zone, how many of its controllers are in reach."""
+        out = {}
+        for zone in set(self._zones.values()):
+            names = [name for name, site in self._zones.items() if site == zone]
+            reached = sum(name not in self._unreachable for name in names)
+            out[zone] = f"{reached} of {len(names)} controllers there in reach"
+        return out
+
     def _fleet_step(self) -> float:
         if self.engine.owner and self.engine.policy.recovery:
             self.watch_zones()
--- a/bayford/coordination/zone_watch.py
+++ b/bayford/coordination/zone_watch.py
@@ -4,6 +4,8 @@
 """
 
 import logging
+from collections.abc import Mapping
+from types import MappingProxyType
 
 from bayford.coordination.owner_state import OwnerState
 from bayford.recovery import record
@@ -37,6 +39,7 @@
             facts.workers.lease_s, facts.workers.report_s, policy.recovery_least,
             settle_leases=policy.recovery_settle_leases, flap_memory_s=policy.recovery_flap_memory_s,
         )  # fmt: skip
+        self._controllers: Mapping[str, str] = {}
         self._begin_term()
         state.on_adopted = self._adopted
         state.on_done = self._on_done
@@ -82,9 +85,10 @@
 
     # -- looking ---------------------------------------------------------------------------------------
 
-    def look(self, owner: OwnerFacts) -> None:
-        """Take the zones' present state in."""
+    def look(self, owner: OwnerFacts, controllers: Mapping[str, str] = MappingProxyType({})) -> None:
+        """Take the zones' present state in. `controllers`: for the log, who of each zone is in reach."""
         state = self._state
+        self._controllers = controllers
         if not state.policy.recovery or not state.owner or not state.complete:
             return
         now = state.clock()
@@ -134,12 +138,27 @@
         else:
             if before.state is ZoneState.LOST and losses:
                 losses[-1].returned = wall
-            log.info("zone %s: %s, then %s (%d flaps)", name, before.state, after.state, after.flaps)
+                self._forget_images(zone)
+            log.info(
+                "zone %s: %s, then %s (%d flaps); %s", name, before.state, after.state, after.flaps,
+                self._controllers.get(name, "no controller there"),
+            )  # fmt: skip
         if after.state is ZoneState.RETURNING:
             self._reports = {m: seen for m, seen in self._reports.items() if state.zone_of(m) != zone}
         self._unwritten.add(zone)
         self._written_at = 0.0
 
+    def _forget_images(self, zone: int) -> None:
+        """What returns may be cold. Only the images of tasks that are there still are known."""
+        state = self._state
+        for machine in state.machines.values():
+            if machine.zone != zone:
+                continue
+            used = {place.job.image for place in machine.open.values()}
+            for image in [image for image in machine.images if image not in used]:
+                del machine.images[image]
+                state.room.dropped(machine, image)
+
     def _publish(self) -> None:
         """What the rounds go by."""
         state = self._state
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -316,9 +316,14 @@
     assert engine.jobs["req-000002"].open == {}, (
         "there is room on machines that nobody has heard of for a while"
     )
+    south = [m for m in engine.machines.values() if engine.zones[m.zone] == "south"]
+    for machine in south:
+        machine.images[77] = True
+        engine.room.holds(machine, 77)
     heal(cluster)
     while zone_state(cluster) == "lost":
         wait(cluster, 0.5)
+    assert not any(77 in machine.images for machine in south), "it may be cold"
     assert zone_state(cluster) == "returning" and not engine.verified_machines
     engine.round()
     assert engine.jobs["req-000002"].open == {}, "one report may have been held back by the cut"
