--- a/tools/zone_trial.py
+++ b/tools/zone_trial.py
@@ -18,7 +18,7 @@
 
 from standins.site import KIND, Site, await_state, job  # noqa: E402
 
-KEEP_IDLE = "keep_idle_s = 1e6\nsurplus_idle_s = 1e6\ndear_idle_s = 1e6\nextra_classes = ['rebuild-sweep']\n"
+KEEP_IDLE = "keep_idle_s = 1e6\nsurplus_idle_s = 1e6\ndear_idle_s = 1e6\nextra_classes = ['rebuild-sweep']\nspread = True\n"
 VARIANTS = {
     "off": "",
     "on": "recovery = True\nreturn_order = ['hot-builds', 'rebuild-sweep', 'mirror-trickle']\n",
@@ -30,7 +30,7 @@
 def trial(script: str, machines: int, seed: int, folder: Path) -> str:
     """A line of figures for one run."""
     rng = random.Random(seed)
-    with Site(folder, script + KEEP_IDLE, machines * 2, lease_s=6.0) as site:
+    with Site(folder, script + KEEP_IDLE, machines // 2, lease_s=6.0) as site:  # nothing more to rent
 
         def running(prefix: str) -> int:
             workers = list(site.fleet.workers.values())
@@ -53,7 +53,7 @@
         for _ in range(machines // 2):
             site.fleet.begin(KIND, "south", True)
         back_at = time.monotonic()
-        served = {}
+        served: dict[str, float] = {}
         while len(served) < len(CLASSES) - 1 and time.monotonic() - back_at < 60.0:
             for number, name in enumerate(CLASSES, 1):
                 if name not in served and running(f"req-{number:06d}") == machines * 2:
