--- a/tools/zone_trial.py
+++ b/tools/zone_trial.py
@@ -18,7 +18,10 @@
 
 from standins.site import KIND, Site, await_state, job  # noqa: E402
 
-KEEP_IDLE = "keep_idle_s = 1e6\nsurplus_idle_s = 1e6\ndear_idle_s = 1e6\nextra_classes = ['rebuild-sweep']\nspread = True\n"
+KEEP_IDLE = (
+    "keep_idle_s = 1e6\nsurplus_idle_s = 1e6\ndear_idle_s = 1e6\nspread = True\n"
+    "extra_classes = ['rebuild-sweep']\n"
+)
 VARIANTS = {
     "off": "",
     "on": "recovery = True\nreturn_order = ['hot-builds', 'rebuild-sweep', 'mirror-trickle']\n",
