--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -556,10 +556,11 @@
         return out
 
     def _fleet_step(self) -> float:
-        if self.engine.owner and self.engine.policy.recovery:
-            self.watch_zones()
         if self.engine.owner:
             self.cloud_calls.carry_out(self.fleet_once())
+        # Last: what it can't write in an outage must not keep overdue machines from being deleted.
+        if self.engine.owner and self.engine.policy.recovery:
+            self.watch_zones()
         return 0.5
 
     def _command_step(self) -> float:
--- a/tests/world.py
+++ b/tests/world.py
@@ -538,13 +538,13 @@
         if not node.engine.owner or name in self.frozen:
             return
         self.try_(node.cloud_calls.list_step)
-        if node.engine.policy.recovery:
-            self.try_(node.watch_zones)
         step = node.fleet_once()
         for rental in step.rentals:
             node.cloud_calls.rent(rental)
         if step.deletions:
             node.cloud_calls.delete([deletion.machine for deletion in step.deletions])
+        if node.engine.policy.recovery:
+            self.try_(node.watch_zones)
 
     def step(self, seconds: float = 0.5) -> None:
         """Some time passes: every controller steps, every worker reports to the owner."""
