--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -24,6 +24,7 @@
 from bayford.protocol.cloud_api import Cloud, CloudBusyError
 from bayford.recovery.zone_health import OwnerFacts
 from bayford.storage import records, summary
+from bayford.storage.counted import CountedStore
 from bayford.storage.mirror import Mirror
 from bayford.storage.store import (
     LeaseGoneError,
@@ -53,6 +54,7 @@
 SERVED_S = 3.0
 SETTLED_S = 4.0  # after its start, or an attempt, before a controller takes over from an older release
 ISOLATED_S = 4.0  # longer than a member's lease
+STORE_PARTS = ("ledger", "membership", "users", "reads")  # who asks the state service; see `CountedStore`
 LOG_WAITING_S = 15.0  # how often the log says who waits and why
 SUMMARY_GAP_S = 0.7  # between two values of a summary
 SUMMARY_OLD_S = 180.0  # an older summary says nothing about the machines of now
@@ -84,7 +86,9 @@
         self._halts: queue.Queue[int] = queue.Queue(HALT_QUEUE)
         self.settings = settings
         self.engine = engine
-        self.store = store
+        # Each part by itself, so that the log can tell whose requests the state service refuses.
+        self._counted_stores = {part: CountedStore(store, part) for part in STORE_PARTS}
+        self.store = self._counted_stores["ledger"]
         self.incarnation = incarnation
         self.peers = peers
         self.clock = clock
@@ -92,7 +96,7 @@
         self.name = settings.member
         self.limits = engine.limits
         self.mirror = Mirror(
-            store, self.limits.layout_bytes, self._on_rows, threaded, clock, self._on_read
+            self._counted_stores["reads"], self.limits.layout_bytes, self._on_rows, threaded, clock, self._on_read
         )  # fmt: skip
         facts = settings.facts
         teams = [t.name for t in facts.teams]
@@ -100,7 +104,7 @@
         self.release = release
         self._releases: dict[str, int] = {}  # of the other controllers, as each last said
         self.membership = Membership(
-            store, self.mirror, self.name, incarnation, teams, clock, zones, limits=self.limits,
+            self._counted_stores["membership"], self.mirror, self.name, incarnation, teams, clock, zones, limits=self.limits,
             older_peers=self.older_peers,
         )  # fmt: skip
         self.relay = relaying.Relay(self.name, self.mirror, self.limits, clock, wall)
@@ -125,7 +129,9 @@
         self.cloud_calls = CloudCalls(
             cloud, engine, self, facts.cloud.rps, f"r-{self.name}-{incarnation}", clock, pause, self._kick.set
         )  # fmt: skip
-        self._users = UserRequests(store, self.mirror, engine, self.limits, wall, self.notices.add)
+        self._users = UserRequests(
+            self._counted_stores["users"], self.mirror, engine, self.limits, wall, self.notices.add
+        )  # fmt: skip
         self._summary_keys = 0
         self._summary: list[Put] = []  # what is still to be written of the newest one
         self._unreachable: set[str] = set()
@@ -605,6 +611,12 @@
     def _log_waiting_step(self) -> float:
         for line in self.engine.waiting():
             log.info("%s", line)
+        for store in self._counted_stores.values():
+            counts = store.counts()
+            log.info(
+                "state service, %s: %d requests, %d changes, %d refused, %d conflicts so far",
+                store.part, counts.requests, counts.changes, counts.refused, counts.conflicts,
+            )  # fmt: skip
         return LOG_WAITING_S
 
     def _peer_step(self) -> float:
--- /dev/null
+++ b/bayford/storage/counted.py
@@ -0,0 +1,77 @@
+"""The state service as one part of a controller uses it: what that part asks for is counted.
+
+All controllers share the service's rates, and a part that asks for too much starves the others. The counts
+tell which part asked and which was refused.
+"""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from bayford.storage.store import Outcome, Put, Row, Store, UnavailableError
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True)
+class RequestCounts:
+    """What one part has asked of the state service so far."""
+
+    requests: int = 0
+    changes: int = 0  # puts and deletes
+    refused: int = 0  # requests that the service answered but did not execute: 429 or 503
+    conflicts: int = 0  # transactions whose conditions failed
+
+
+class CountedStore:
+    """A `Store` that passes every call on and counts it."""
+
+    def __init__(self, store: Store, part: str) -> None:
+        """`part`: whose requests these are, for the log."""
+        self.part = part
+        self._store = store
+        self._lock = threading.Lock()
+        self._counts = RequestCounts()
+
+    def counts(self) -> RequestCounts:
+        """The counts as of now."""
+        with self._lock:
+            counts = self._counts
+            return RequestCounts(counts.requests, counts.changes, counts.refused, counts.conflicts)
+
+    def scan(self, prefix: str) -> tuple[list[Row], int]:
+        """See `Store`."""
+        return self._counted(lambda: self._store.scan(prefix))
+
+    def commit(self, conditions: dict[str, int], puts: list[Put]) -> Outcome:
+        """See `Store`."""
+        outcome = self._counted(lambda: self._store.commit(conditions, puts), len(puts))
+        if not outcome.applied:
+            with self._lock:
+                self._counts.conflicts += 1
+        return outcome
+
+    def changes(self, prefix: str, since: int, wait_s: float) -> tuple[list[Row], int]:
+        """See `Store`."""
+        return self._counted(lambda: self._store.changes(prefix, since, wait_s))
+
+    def lease(self, ttl_s: float) -> int:
+        """See `Store`."""
+        return self._counted(lambda: self._store.lease(ttl_s))
+
+    def renew(self, lease: int) -> None:
+        """See `Store`."""
+        self._counted(lambda: self._store.renew(lease))
+
+    def _counted(self, call: Callable[[], T], changes: int = 0) -> T:
+        with self._lock:
+            self._counts.requests += 1
+            self._counts.changes += changes
+        try:
+            return call()
+        except UnavailableError as bad:
+            if bad.refused:
+                with self._lock:
+                    self._counts.refused += 1
+            raise
