--- a/bayford/admission/control.py
+++ b/bayford/admission/control.py
@@ -13,6 +13,7 @@
 
 LEAST_CORRECTION, MOST_CORRECTION = 0.05, 4.0
 LEAST_STEP, MOST_STEP = 0.8, 1.25  # of the correction, from one level to the next
+PACE_MARGIN = 1.3  # the pace is a bound on bursts; it is the windows that keep to the capacity
 WHOLE = 0.999  # a flow that is given as much of its demand needs no window
 SUBMISSIONS, BACKLOG = "submissions", "backlog"
 
@@ -142,7 +143,7 @@
             before.since,
             before.key,
             reason,
-            round(load.capacity, 3) if reason == SUBMISSIONS else 0.0,
+            round(PACE_MARGIN * load.capacity, 3) if reason == SUBMISSIONS else 0.0,
             self._times.interval_s,
             self._times.turn_s,
             tuple(window for window in windows if window is not None),
--- a/bayford/admission/distinct.py
+++ b/bayford/admission/distinct.py
@@ -15,6 +15,9 @@
 HASHES = 1 << 32
 MOST_SAMPLED = 512  # jobs that one controller remembers
 FEW = 8  # with fewer the threshold rises again: repeats of jobs that lay above it would pass for new ones
+# The owner remembers longer: what a controller has just forgotten may be repeated there a last time, and told
+# again for a while.
+REMEMBERED_S = 2 * REPEAT_S
 RECENT_S = 15.0  # what a controller tells: the owner may miss some of its answers
 
 
@@ -75,7 +78,7 @@
         at = now if known else now - self._window_s
         for key, flow in sample.jobs.items():
             self._first.setdefault(key, (at, flow))
-        _forget_first(self._first, now - REPEAT_S - self._window_s)
+        _forget_first(self._first, now - REMEMBERED_S)
 
     def rates(self, now: float) -> dict[Flow, float]:
         """New jobs a second of each flow, over the last window."""
--- a/bayford/admission/level.py
+++ b/bayford/admission/level.py
@@ -59,7 +59,7 @@
     reason: str = ""
     accept_rps: float = 0.0  # acceptances a second, at all controllers together; 0: not paced
     interval_s: float = 2.0  # from one level to the next, while jobs are refused
-    turn_s: float = 30.0  # in which a window moves on by its own width
+    turn_s: float = 60.0  # in which a window moves on by its own width
     windows: tuple[Window, ...] = ()
     v: int = VERSION
 
--- a/bayford/admission/load.py
+++ b/bayford/admission/load.py
@@ -6,7 +6,8 @@
 
 K = TypeVar("K", bound=Hashable)
 
-DECREASE = 0.8  # of the capacity, when the ledger is held up
+DECREASE = 0.85  # of the capacity, when the ledger is held up
+FEW_REFUSALS = 1  # transactions refused in an interval do not show that: bursts meet
 INCREASE = 0.05  # of its beginning, otherwise
 LEAST, MOST = 0.25, 1.5  # of its beginning
 LAG_S = 2.0  # the ledger is held up when it is so far behind
@@ -54,7 +55,7 @@
 
     def update(self, refused: int, lag_s: float) -> None:
         """Once an interval: how many transactions of the ledger were refused, how far it is behind."""
-        if refused or lag_s > LAG_S:
+        if refused > FEW_REFUSALS or lag_s > LAG_S:
             self.per_s = max(LEAST * self._beginning, self.per_s * DECREASE)
         else:
             self.per_s = min(MOST * self._beginning, self.per_s + INCREASE * self._beginning)
--- a/bayford/coordination/admission_control.py
+++ b/bayford/coordination/admission_control.py
@@ -115,7 +115,8 @@
 
     def _load(self, work: WorkFacts, now: float) -> Load:
         accepted = self._accepted.rates(now)
-        demand = {flow: max(rate, accepted.get(flow, 0.0)) for flow, rate in self._demand.rates(now).items()}
+        # Acceptances are no demand where that is known: after a flood those who still repeat are accepted.
+        demand = accepted | self._demand.rates(now)
         capacity = self._capacity.per_s
         guarantees = {team: capacity * weight for team, weight in self._weights.items()}
         return Load(demand, accepted, capacity, guarantees, work.over_guarantee, work.backlog_s)
@@ -129,7 +130,11 @@
                 level.number, what, sum(load.demand.values()), load.capacity, len(level.windows),
             )  # fmt: skip
         else:
-            log.debug("admission level %d: %s", level.number, level.windows)
+            log.debug(
+                "admission level %d: %.1f new jobs a second, %.1f accepted, capacity %.1f; %s",
+                level.number, sum(load.demand.values()), sum(load.accepted.values()), load.capacity,
+                level.windows,
+            )  # fmt: skip
 
 
 def told_of(sample: Sample) -> mesh.Submitted:
--- a/bayford/scheduling/policy.py
+++ b/bayford/scheduling/policy.py
@@ -74,7 +74,7 @@
     admission: bool = False
     admission_interval_s: float = 2.0
     admission_window_s: float = 10.0
-    admission_turn_s: float = 30.0
+    admission_turn_s: float = 60.0
     admission_enter: float = 1.25
     admission_leave: float = 0.8
     admission_clear_s: float = 10.0
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -79,7 +79,7 @@
 # admission = False          # refuse in part, at every controller alike, what can't be taken
 # admission_interval_s = 2.0 # from one level to the next, while jobs are refused
 # admission_window_s = 10.0  # what demand is measured over
-# admission_turn_s = 30.0    # in which the part that is admitted moves on by its own width
+# admission_turn_s = 60.0    # in which the part that is admitted moves on by its own width
 # admission_enter = 1.25     # refusing begins at so many times the capacity,
 # admission_leave = 0.8      # and ends when demand has been below so many times it
 # admission_clear_s = 10.0   # for so long
--- a/standins/history.py
+++ b/standins/history.py
@@ -27,6 +27,21 @@
     return [part for part in parts if done[part] != 1]
 
 
+def done_again(history: Iterable[Event]) -> list[str]:
+    """Tasks that completed although an attempt of them had, and its machine had not forgotten that: a worker
+    whose lease ends forgets what had ended there, and the task may run once more."""
+    kept: set[str] = set()
+    out = []
+    for event in history:
+        if event.what == "done":
+            if event.part in kept:
+                out.append(event.part)
+            kept.add(event.part)
+        elif event.what == "forgotten":
+            kept.discard(event.part)
+    return out
+
+
 def without_one_answer(answers: Mapping[str, Mapping[str, str | None]], final: str) -> list[str]:
     """Jobs of which not every controller gives this one final answer. `answers`: by job and controller."""
     return [job for job, told in answers.items() if not told or set(told.values()) != {final}]
--- /dev/null
+++ b/standins/users.py
@@ -0,0 +1,105 @@
+"""Users who submit jobs at a rate, at any controller, and repeat as the protocol says."""
+
+import heapq
+import itertools
+import random
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from standins.admission_history import Told
+from standins.site import Site
+
+REPEAT_S = 60.0  # how long a submission is repeated
+RETRY_S = 1.0  # how soon at the earliest
+THREADS = 24
+
+
+@dataclass
+class Submission:
+    """One job and what its user was told."""
+
+    job: dict[str, Any]
+    first_at: float
+    answers: list[Told] = field(default_factory=list)
+    accepted_at: float | None = None
+
+    @property
+    def given_up(self) -> bool:
+        """Whether its user has stopped trying."""
+        return self.accepted_at is None and time.monotonic() - self.first_at > REPEAT_S
+
+
+class Users:
+    """Everybody who submits to a site, until `close`."""
+
+    def __init__(self, site: Site, seed: int) -> None:
+        self._site = site
+        self._rng = random.Random(seed)
+        self._order = itertools.count()
+        self._due: list[tuple[float, int, Submission]] = []
+        self._changed = threading.Condition()
+        self._over = False
+        self.submissions: list[Submission] = []
+        for _ in range(THREADS):
+            threading.Thread(target=self._work, daemon=True).start()
+
+    def submit(self, job: dict[str, Any], run_s: float) -> None:
+        """Upload a job and begin to submit it."""
+        self._site.fleet.upload(job, run_s)
+        submission = Submission(job, time.monotonic())
+        with self._changed:
+            self.submissions.append(submission)
+            self._push(submission, submission.first_at)
+
+    def flood(
+        self, make_job: Callable[[int], dict[str, Any]], per_s: float, seconds: float, run_s: float
+    ) -> None:
+        """Submit jobs at a steady rate for some time; `make_job` is given their numbers."""
+        began = time.monotonic()
+        for number in range(int(per_s * seconds)):
+            wait_s = began + number / per_s - time.monotonic()
+            if wait_s > 0:
+                time.sleep(wait_s)
+            self.submit(make_job(number), run_s)
+
+    def told(self) -> list[Told]:
+        """All answers so far."""
+        with self._changed:
+            return [answer for submission in self.submissions for answer in submission.answers]
+
+    def close(self) -> None:
+        """Nobody submits any more."""
+        with self._changed:
+            self._over = True
+            self._changed.notify_all()
+
+    def _push(self, submission: Submission, at: float) -> None:
+        heapq.heappush(self._due, (at, next(self._order), submission))
+        self._changed.notify()
+
+    def _work(self) -> None:
+        while True:
+            with self._changed:
+                while not self._over and (not self._due or self._due[0][0] > time.monotonic()):
+                    self._changed.wait(0.05 if self._due else None)
+                if self._over:
+                    return
+                _, _, submission = heapq.heappop(self._due)
+                node = self._rng.choice(list(self._site.controllers.fronts))
+            self._attempt(submission, node)
+
+    def _attempt(self, submission: Submission, node: str) -> None:
+        status, body, retry_after_s = self._site.controllers.request(
+            node, "POST", "/api/jobs", submission.job
+        )
+        now = time.monotonic()
+        revision = body.get("revision", 0) if status == 429 else 0
+        with self._changed:
+            submission.answers.append(Told(node, submission.job["id"], status, revision))
+            if status in (200, 201):
+                submission.accepted_at = now
+            elif status not in (400, 422) and now - submission.first_at < REPEAT_S:
+                self._push(submission, now + max(RETRY_S, retry_after_s))
--- a/tests/test_admission_cluster.py
+++ b/tests/test_admission_cluster.py
@@ -11,6 +11,7 @@
 
 from bayford.admission.choice import decide
 from bayford.admission.level import POSITIONS, Flow, Level, Window, encode
+from bayford.coordination import work_facts
 from bayford.protocol import jobs
 from bayford.scheduling.policy import Policy
 from bayford.storage import records
@@ -22,6 +23,8 @@
     chosen_differently,
     refused_wrongly,
 )
+from standins.history import done_again
+from standins.workers import Event
 from tests.world import World
 
 KEY = "07" * 32
@@ -271,6 +274,28 @@
     assert against_level(history, flows) == [] and refused_wrongly(history, told, flows) == []
 
 
+def test_a_backlog_counts_only_while_the_cloud_gives_no_more_machines():
+    w = cluster(machines=2)
+    owner = w.owner()
+    engine = w.nodes[owner].engine
+    w.submit(owner, w.job(1, parts=50, guess_s=100.0, crew="open"))
+    w.step()
+    assert work_facts.gather(engine).backlog_s == {}, "the fleet may still grow"
+    w.capacity = 0
+    for _ in range(4):
+        w.fleet(owner)
+        w.step()
+    facts = work_facts.gather(engine)
+    assert facts.backlog_s[1] == pytest.approx(50 * 100.0 / 8.0, rel=0.2)
+    assert facts.over_guarantee == {"open"}, "50 CPUs of open work, none guaranteed"
+    w.machine(spot=False)
+    w.machine(spot=False)
+    w.capacity = 10
+    w.pass_time(30.0)
+    w.fleet(owner)
+    assert work_facts.gather(engine).backlog_s == {}, "machines are asked for again"
+
+
 def test_a_new_owner_in_a_flood_goes_on_with_the_level():
     w = cluster()
     told = flood(w, 8, 1)
@@ -364,6 +389,9 @@
     assert refused_wrongly([admitting], [refused], FLOWS)
     assert chosen_differently([refused, Told("n1", LOST, 201, 5)]) == [LOST]
     assert chosen_differently([refused, Told("n1", LOST, 201, 9)]) == []
+    done, forgotten = Event("req-1/0", 1, "vm-1", "done"), Event("req-1/0", 1, "vm-1", "forgotten")
+    again = Event("req-1/0", 2, "vm-2", "done")
+    assert done_again([done, again]) == ["req-1/0"] and done_again([done, forgotten, again]) == []
     assert began_too_late({"a": 5, "b": 3}, [("a", "b")]) == ["a"]
     assert began_too_late({"a": 2, "b": 3}, [("a", "b")]) == [] == began_too_late({}, [("a", "b")])
     assert began_too_late({"b": 3}, [("a", "b")]) == ["a"]
--- /dev/null
+++ b/tests/test_flood_loopback.py
@@ -0,0 +1,81 @@
+"""Three real controllers under a flood at ten times what the site serves; two of them end and come back."""
+
+import random
+import threading
+
+from standins.admission_history import against_level, began_too_late, chosen_differently, refused_wrongly
+from standins.history import done_again, ran_twice
+from standins.site import KIND, Site, await_state
+from standins.state_service import StateService
+from standins.users import Users
+from tools.flood_trial import KEEP_IDLE, RPS, SERVED_PER_S, TEAMS, WRITE_RPS, flow_of, make_job
+
+SCRIPT = KEEP_IDLE + "admission = True\nadmission_window_s = 4.0\nadmission_clear_s = 4.0\n"
+MACHINES = 4
+RUN_S = 0.5
+PER_S, SECONDS = SERVED_PER_S * 10, 12.0
+
+
+def test_a_flood_at_ten_times_what_is_served_while_the_owner_and_another_controller_end(tmp_path):
+    rng = random.Random(5)
+    state = StateService(RPS, WRITE_RPS)
+    with Site(tmp_path, SCRIPT, MACHINES, teams=TEAMS, state=state) as site:
+        for n in range(MACHINES):
+            site.fleet.begin(KIND, "north" if n % 2 else "south", True)
+        await_state(lambda: site.owner() is not None, "an owner")
+        users = Users(site, 5)
+        flood = threading.Thread(
+            target=users.flood, args=(lambda n: make_job(rng, n, PER_S), PER_S, SECONDS, RUN_S), daemon=True
+        )  # fmt: skip
+        flood.start()
+
+        def levels() -> list[object]:
+            return [row.value for row in state.history() if row.key == "b/admission"]
+
+        await_state(lambda: len(levels()) >= 2, "the flood is refused in part")
+        owner = site.owner()
+        assert owner is not None
+        ended = [owner, next(name for name in site.controllers.fronts if name != owner)]
+        for name in ended:
+            site.controllers.kill(name)
+        await_state(lambda: site.owner() not in (None, owner), "another owner")
+        for name in ended:
+            site.start(name)
+        before = len(levels())
+        await_state(lambda: len(levels()) >= before + 2, "the next owner goes on with levels")
+        flood.join()
+        submissions = list(users.submissions)
+        await_state(lambda: not levels()[-1]["windows"] and not levels()[-1]["accept_rps"], "the end")
+        users.close()
+        accepted = [s for s in submissions if s.accepted_at is not None]
+        names = [s.job["id"] for s in accepted]
+
+        def undone() -> set[str]:
+            done = {event.part for event in list(site.fleet.history) if event.what == "done"}
+            return {f"{name}/0" for name in names} - done
+
+        await_state(lambda: not undone(), "what was accepted is done")
+
+        told, changes = users.told(), state.history()
+        flows = {s.job["id"]: flow_of(s.job) for s in submissions}
+        assert any(answer.status == 429 for answer in told), "it was a flood"
+        assert against_level(changes, flows) == [] and refused_wrongly(changes, told, flows) == []
+        assert chosen_differently(told) == []
+        history = list(site.fleet.history)
+        assert ran_twice(history) == [] and done_again(history) == []
+        served = {(s.job["lane"], s.job["crew"]) for s in accepted}
+        assert served == {(s.job["lane"], s.job["crew"]) for s in submissions}, "nobody is starved"
+        builds = [s for s in submissions if s.job["lane"] == "hot-builds"]
+        sweeps = [s for s in submissions if s.job["lane"] == "rebuild-sweep"]
+        share = [sum(s.accepted_at is not None for s in some) / len(some) for some in (builds, sweeps)]
+        assert share[0] > 2 * share[1], "urgent ones go first"
+        begun: dict[str, int] = {}
+        for event in history:
+            if event.what == "running":
+                begun.setdefault(event.part.partition("/")[0], event.number)
+        came_together = [
+            (build.job["id"], sweep.job["id"])
+            for build, sweep in zip(builds, sweeps, strict=False)
+            if build.accepted_at and sweep.accepted_at and build.accepted_at < sweep.accepted_at - 1.0
+        ]
+        assert began_too_late(begun, came_together) == []
