--- a/bayford/admission/load.py
+++ b/bayford/admission/load.py
@@ -53,9 +53,15 @@
         self._beginning = beginning
         self.per_s = beginning
 
-    def update(self, refused: int, lag_s: float) -> None:
-        """Once an interval: how many transactions of the ledger were refused, how far it is behind."""
-        if refused > FEW_REFUSALS or lag_s > LAG_S:
+    def update(self, refusing: bool, refused: int, lag_s: float) -> None:
+        """Once an interval: how many transactions of the ledger were refused, how far it is behind.
+
+        While no jobs are refused the capacity holds nothing back, so nothing is to be learned of it; it would
+        fall with every burst, and refusing begin again on the way out of a flood.
+        """
+        if not refusing:
+            self.per_s = self._beginning
+        elif refused > FEW_REFUSALS or lag_s > LAG_S:
             self.per_s = max(LEAST * self._beginning, self.per_s * DECREASE)
         else:
             self.per_s = min(MOST * self._beginning, self.per_s + INCREASE * self._beginning)
--- a/bayford/coordination/admission_control.py
+++ b/bayford/coordination/admission_control.py
@@ -92,7 +92,7 @@
                 self._begin(now)
             if view.lacking:
                 return None
-            self._update_capacity(ledger, now)
+            self._update_capacity(view.level is not None and not view.level.is_open, ledger, now)
             load = self._load(work(), now)
             level = self._control.next_level(view.level, load, now, wall, secrets.token_hex(KEY_BYTES))
         if level is None:
@@ -105,13 +105,13 @@
         with self._lock:
             self._control.not_published()
 
-    def _update_capacity(self, ledger: LedgerFacts, now: float) -> None:
+    def _update_capacity(self, refusing: bool, ledger: LedgerFacts, now: float) -> None:
         if now - self._updated < self._times.interval_s:
             return
         self._updated = now
         refused = 0 if self._ledger_refused is None else ledger.refused - self._ledger_refused
         self._ledger_refused = ledger.refused
-        self._capacity.update(refused, ledger.lag_s)
+        self._capacity.update(refusing, refused, ledger.lag_s)
 
     def _load(self, work: WorkFacts, now: float) -> Load:
         accepted = self._accepted.rates(now)
