--- a/bayford/cli.py
+++ b/bayford/cli.py
@@ -1,5 +1,7 @@
 """The command line."""
 
+from __future__ import annotations
+
 import argparse
 import faulthandler
 import logging
@@ -9,11 +11,15 @@
 import threading
 import time
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from bayford import __version__
 from bayford.config import Settings, SettingsError, load, split_address
 from bayford.scheduling.policy import Policy
 
+if TYPE_CHECKING:
+    from bayford.storage.store import Row
+
 log = logging.getLogger("bayford")
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
@@ -132,24 +138,32 @@
     return top
 
 
-def show_zones(settings: Settings, as_json: bool) -> int:
-    """Print what the state service holds of the zones' losses; exit status 1 if that can't be read."""
+def stored_rows(settings: Settings, prefixes: list[str]) -> list[list[Row]] | None:
+    """What the state service holds below each prefix; None, and a complaint, if it is out."""
     from bayford.protocol.state_api import StateApi
-    from bayford.recovery import report
-    from bayford.recovery.record import UnreadableRecordError, decode
-    from bayford.storage import records
     from bayford.storage.store import OutcomeUnknownError, UnavailableError
     from bayford.transport.client import Client
 
     state = StateApi(Client(*split_address(settings.outside.state)).call)
     try:
-        rows, _ = state.scan(records.ZONES)
+        return [state.scan(prefix)[0] for prefix in prefixes]
     except (UnavailableError, OutcomeUnknownError) as bad:
         print(f"bayford: the state service at {settings.outside.state} is out: {bad}", file=sys.stderr)
+        return None
+
+
+def show_zones(settings: Settings, as_json: bool) -> int:
+    """Print what the state service holds of the zones' losses; exit status 1 if that can't be read."""
+    from bayford.recovery import report
+    from bayford.recovery.record import UnreadableRecordError, decode
+    from bayford.storage import records
+
+    found = stored_rows(settings, [records.ZONES])
+    if found is None:
         return 1
     zones = []
     status = 0
-    for row in rows:
+    for row in found[0]:
         try:
             zones.append(decode(row.value))
         except UnreadableRecordError as bad:
@@ -163,19 +177,12 @@
     """Print the admission level; exit status 1 if it can't be read."""
     from bayford.admission import features, report
     from bayford.admission.level import UnreadableLevelError, decode
-    from bayford.protocol.state_api import StateApi
     from bayford.storage import records
-    from bayford.storage.store import OutcomeUnknownError, UnavailableError
-    from bayford.transport.client import Client
 
-    state = StateApi(Client(*split_address(settings.outside.state)).call)
-    try:
-        rows, _ = state.scan(records.ADMISSION)
-        members, _ = state.scan(records.MEMBERS)
-        told, _ = state.scan(records.FEATURES)
-    except (UnavailableError, OutcomeUnknownError) as bad:
-        print(f"bayford: the state service at {settings.outside.state} is out: {bad}", file=sys.stderr)
+    found = stored_rows(settings, [records.ADMISSION, records.MEMBERS, records.FEATURES])
+    if found is None:
         return 1
+    rows, members, told = found
     try:
         level = decode(rows[0].value) if rows else None
     except UnreadableLevelError as bad:
--- a/bayford/coordination/autoscaler.py
+++ b/bayford/coordination/autoscaler.py
@@ -3,13 +3,13 @@
 import dataclasses
 import logging
 import math
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 
+from bayford.coordination.owner_state import OwnerState
 from bayford.coordination.scheduling_round import SchedulingRound
 from bayford.coordination.worker_reports import RUNS_S
 from bayford.protocol.cloud_api import Listed
-from bayford.recovery.zone_health import OwnerFacts
 from bayford.scheduling import fleet, placement
 from bayford.scheduling.model import (
     EPS,
@@ -18,7 +18,6 @@
     JobSpec,
     Machine,
 )
-from bayford.storage.store import Put
 
 log = logging.getLogger("bayford.engine")
 
@@ -54,65 +53,59 @@
     deletions: list[Deletion] = field(default_factory=list)
 
 
-class Autoscaler(SchedulingRound):
-    """The fleet: what waits for machines, and which machines go back."""
+class Autoscaler:
+    """The fleet: what waits for machines, and which machines go back. Takes the lock of the owner's state by
+    itself."""
+
+    def __init__(self, state: OwnerState, scheduling: SchedulingRound) -> None:
+        """`scheduling`: for the order of service."""
+        self._state = state
+        self._scheduling = scheduling
 
     def on_list(self, listed: Iterable[Listed], began: float) -> None:
         """The cloud's list, asked for at `began`. Lagging; what it lacks may be up already."""
-        with self.lock:
-            if not self.owner:
+        with self._state.lock:
+            if not self._state.owner:
                 return
-            now = self.clock()
-            self.listed_at = began
+            now = self._state.clock()
+            self._state.listed_at = began
             names = set()
             for entry in listed:
                 names.add(entry.name)
-                if entry.name not in self.gone:
+                if entry.name not in self._state.gone:
                     self._take_listed(entry, began, now)
-            for machine in self.machines.values():
+            for machine in self._state.machines.values():
                 if machine.listed and machine.name not in names:
                     machine.missing += 1
 
     def _take_listed(self, entry: Listed, began: float, now: float) -> None:
-        fresh = self.machines_by.find(entry.name) not in self.machines
-        machine = self._machine(entry.name, now)
+        fresh = self._state.machines_by.find(entry.name) not in self._state.machines
+        machine = self._state.machine_named(entry.name, now)
         if fresh:
             log.info("machine %s: found in the list, %s", entry.name, entry.phase)
         machine.rented = min(machine.rented, began - entry.age_s)
         machine.listed = True
         machine.missing = 0
         if machine.zone is None:
-            machine.zone = self.zones.index(entry.zone)
+            machine.zone = self._state.zones.index(entry.zone)
             machine.spot = entry.spot
         if machine.type is None:
-            self._size(machine, entry.type)
+            self._state.learn_type(machine, entry.type)
         if entry.phase == "failed":
             machine.quarantined = machine.lost = True
 
-    def watch_zones(self, owner: OwnerFacts, controllers: Mapping[str, str]) -> list[Put]:
-        """Take the state of the zones in; the records to write now. `controllers`: who of each zone is in
-        reach, in words."""
-        with self.lock:
-            self.zone_watch.look(owner, controllers)
-            return self.zone_watch.puts()
-
-    def zones_not_written(self, puts: list[Put]) -> None:
-        """Records of zones that were refused, or of which nobody knows."""
-        with self.lock:
-            self.zone_watch.not_written(puts)
-
     def fleet_step(self, listening: float) -> FleetStep:
         """What to rent and what to delete now. Nobody counts as silent before `listening`: until then we
         stood still, or turned reports away."""
         step = FleetStep()
-        with self.lock:
-            if not self.owner or not self.complete or not self.types:
+        with self._state.lock:
+            if not self._state.owner or not self._state.complete or not self._state.types:
                 return step
-            now = self.clock()
+            now = self._state.clock()
             present = list(self._fleet())
             waiting = self._needs(now, present)
             groups = self._standing_groups(now)
-            self.standing = self._kept_for_services(groups, present)
+            self._state.standing = self._kept_for_services(groups, present)
             self._deletions(step, now, waiting, listening)
             # Without those that have just been given up.
             staying = [(option, machine) for option, machine in present if not machine.deleting]
@@ -121,7 +114,7 @@
 
     def _fleet(self) -> Iterator[tuple[fleet.Option, Machine]]:
         """The machines that count: neither on their way back nor at fault."""
-        for machine in self.machines.values():
+        for machine in self._state.machines.values():
             if machine.type is None or machine.zone is None or machine.quarantined or machine.deleting:
                 continue
             yield fleet.Option(machine.type, machine.zone, machine.spot), machine
@@ -129,22 +122,24 @@
     def _needs(self, now: float, machines: Present) -> list[fleet.Need]:
         needs = []
         yields = self._yields(machines)
-        room = {n: s.cpus_max - s.used_cpus for n, s in enumerate(self.shares)}
+        room = {n: s.cpus_max - s.used_cpus for n, s in enumerate(self._state.shares)}
         present: dict[fleet.Option, float] = {}  # CPUs, first of what is there, then of what is coming too
         for option, machine in machines:
             present[option] = present.get(option, 0.0) + machine.cpus
         cheap = sum(cpus for option, cpus in present.items() if option.spot)
-        for option, count in self.renting.items():
-            present[option] = present.get(option, 0.0) + self.types[option.type].cpus * count
+        for option, count in self._state.renting.items():
+            present[option] = present.get(option, 0.0) + self._state.types[option.type].cpus * count
         # What services hold is not there for work that ends, and what they need is no backlog.
         cpus = sum(present.values()) - sum(
-            j.spec.cpus * len(j.open) for j in self.jobs.values() if j.standing
+            j.spec.cpus * len(j.open) for j in self._state.jobs.values() if j.standing
         )
         keep_dear = False
         ahead = sum(
-            0.5 * self.expected(j) * j.spec.cpus * len(j.open) for j in self.jobs.values() if not j.standing
+            0.5 * self._state.expected(j) * j.spec.cpus * len(j.open)
+            for j in self._state.jobs.values()
+            if not j.standing
         )
-        for entry in self._queue(now, turns=False):
+        for entry in self._scheduling.queue(now, turns=False):
             job, count = entry.job, entry.count
             if job.spec.cpus > 0:
                 count = int(min(count, (room[job.team] + EPS) / job.spec.cpus))
@@ -155,22 +150,22 @@
             if job.spec.one_zone or job.spec.spread:
                 # A machine in a zone that is closed to what still waits is rented in vain, and again and
                 # again.
-                open_ = placement.zones_open(job, self.zone_of)
+                open_ = placement.zones_open(job, self._state.zone_of)
                 options = frozenset(o for o in options if placement.zone_allowed(job, o.zone, open_))
             hosts = sum(present.get(o, 0.0) for o in options)
             cheap_hosts = sum(present.get(o, 0.0) for o in options if o.spot)
             job.cheap_hosts = cheap_hosts > 0
-            run = self.expected(job)
+            run = self._state.expected(job)
             dear = 0
             target = None
             if not job.standing:
                 ahead += count * job.spec.cpus * run
-                target = self.due_s(job)
+                target = self._state.due_s(job)
             if target is not None:
                 # Dear machines only where they still make the difference, and only as many as that takes.
                 age = now - job.created
-                spare = self.policy.target_margin * target - age - run
-                boot = min((self.types[o.type].boot_s for o in options), default=0.0)
+                spare = self._state.policy.target_margin * target - age - run
+                boot = min((self._state.types[o.type].boot_s for o in options), default=0.0)
                 if spare <= 0 or ahead / spare > cheap:
                     keep_dear = True
                 if spare > 0 and age + boot + run < target:
@@ -194,20 +189,20 @@
                     job.standing,
                 )  # fmt: skip
             )
-        self.dear_serves = keep_dear or not cheap
+        self._state.dear_serves = keep_dear or not cheap
         return needs
 
     def _options(self, job: Job) -> frozenset[fleet.Option]:
         """The kinds of machine that may serve the job."""
         options = set()
-        for index, kind in enumerate(self.types):
+        for index, kind in enumerate(self._state.types):
             if not kind.zones or not kind.fits(job.spec):
                 continue
             if job.types is not None and index not in job.types:
                 continue
             for zone_name in kind.zones:
-                zone = self.zones.index(zone_name)
-                if (job.zone is not None and zone != job.zone) or zone in self.closed_zones:
+                zone = self._state.zones.index(zone_name)
+                if (job.zone is not None and zone != job.zone) or zone in self._state.closed_zones:
                     continue
                 options.add(fleet.Option(index, zone, False))
                 if job.spec.spot:
@@ -221,8 +216,8 @@
         for option, machine in machines:
             held = sum(p.job.spec.cpus for p in machine.open.values() if p.job.spec.priority >= URGENT)
             out[option] = out.get(option, 0.0) + machine.cpus - held
-        for option, count in self.renting.items():
-            out[option] = out.get(option, 0.0) + self.types[option.type].cpus * count
+        for option, count in self._state.renting.items():
+            out[option] = out.get(option, 0.0) + self._state.types[option.type].cpus * count
         return out
 
     @staticmethod
@@ -252,36 +247,38 @@
                 return  # what cheap machines may serve is served by the fleet that is there anyhow
             need = sizes.setdefault(options, {})
             for index in {option.type for option in options}:
-                kind = self.types[index]
+                kind = self._state.types[index]
                 per = fleet.slots(kind, spec.cpus, spec.gpus, spec.mem_gb)
                 need[index] = need.get(index, 0.0) + tasks / max(1, per)
 
-        boot = min((kind.boot_s for kind in self.types if kind.zones), default=0.0)
+        boot = min((kind.boot_s for kind in self._state.types if kind.zones), default=0.0)
         # Where a service may take longer to start than a machine to boot, less has to be up beforehand.
-        hurry = min(1.0, boot / self.standing_within_s) if self.standing_within_s else 1.0
+        hurry = min(1.0, boot / self._state.standing_within_s) if self._state.standing_within_s else 1.0
         known = []
-        for job in self.jobs.values():
+        for job in self._state.jobs.values():
             if job.standing and not job.cancelled:
                 known.append(self._options(job))
-                count(known[-1], job.spec, job.spec.tasks * (1.0 + self.policy.standing_share))
-        since = now - self.policy.standing_boots * boot
-        self.standing_jobs = [entry for entry in self.standing_jobs if entry[0] > since]
-        for _, spec in self.standing_jobs:
-            lately = self.jobs.get(spec.id)
+                count(known[-1], job.spec, job.spec.tasks * (1.0 + self._state.policy.standing_share))
+        since = now - self._state.policy.standing_boots * boot
+        self._state.standing_jobs = [entry for entry in self._state.standing_jobs if entry[0] > since]
+        for _, spec in self._state.standing_jobs:
+            lately = self._state.jobs.get(spec.id)
             if lately is not None:
                 count(self._options(lately), spec, spec.tasks)
-        if self.standing_classes or known:
+        if self._state.standing_classes or known:
             ordinary = frozenset(
-                fleet.Option(index, self.zones.index(zone), False)
-                for index, kind in enumerate(self.types)
+                fleet.Option(index, self._state.zones.index(zone), False)
+                for index, kind in enumerate(self._state.types)
                 for zone in kind.zones
-                if self.zones.index(zone) not in self.closed_zones
+                if self._state.zones.index(zone) not in self._state.closed_zones
             )
             options = max(known, key=len, default=ordinary)
             if options and not any(option.spot for option in options):
                 need = sizes.setdefault(options, {})
                 for index in {option.type for option in options}:
-                    floor = self.policy.standing_floor * hurry / max(1.0, self.types[index].cpus)
+                    floor = (
+                        self._state.policy.standing_floor * hurry / max(1.0, self._state.types[index].cpus)
+                    )
                     need[index] = need.get(index, 0.0) + floor
         return [fleet.Group(options, need) for options, need in sizes.items()]
 
@@ -310,43 +307,43 @@
         groups: list[fleet.Group],
         machines: Present,
     ) -> None:
-        lag = self.settings.facts.cloud.list_lag_s if self.inherited else 0.0
-        if self.listed_at < self.owner_since + lag:
+        lag = self._state.settings.facts.cloud.list_lag_s if self._state.inherited else 0.0
+        if self._state.listed_at < self._state.owner_since + lag:
             # What the owner before us rented a moment ago is in no list yet: renting now would rent it twice.
             return
-        spare: dict[fleet.Option, int] = dict(self.renting)
+        spare: dict[fleet.Option, int] = dict(self._state.renting)
         cpus = 0.0
         for option, machine in machines:
             cpus += machine.cpus
             if not machine.reported:
                 spare[option] = spare.get(option, 0) + 1
-        for option, count in self.renting.items():
-            cpus += self.types[option.type].cpus * count
+        for option, count in self._state.renting.items():
+            cpus += self._state.types[option.type].cpus * count
         work = sum(n.tasks * n.cpus * n.run_s for n in needs if not n.standing)
         busy = work / cpus if cpus else (1e9 if work else 0.0)
-        refused = frozenset(o for o, until in self.refused.items() if until > now)
-        fleet_now: dict[fleet.Option, int] = dict(self.renting)
+        refused = frozenset(o for o, until in self._state.refused.items() if until > now)
+        fleet_now: dict[fleet.Option, int] = dict(self._state.renting)
         for option, machine in machines:
             if machine.notice is None:
                 fleet_now[option] = fleet_now.get(option, 0) + 1
         rentals = fleet.for_services(
-            groups, self.types, fleet_now, refused, any(need.standing for need in needs)
+            groups, self._state.types, fleet_now, refused, any(need.standing for need in needs)
         )
         for rental in rentals:
             spare[rental.option] = spare.get(rental.option, 0) + rental.count
         rentals += fleet.wanted(
             needs,
-            self.types,
+            self._state.types,
             spare,
             refused,
             busy,
-            self.policy.ordinary_after_s,
-            self.policy.patience_s,
+            self._state.policy.ordinary_after_s,
+            self._state.policy.patience_s,
         )
         for rental in self._paced(rentals, machines):
             option = rental.option
             self._asked_for(option, rental.count)
-            kind, zone = self.types_by[option.type], self.zones[option.zone]
+            kind, zone = self._state.types_by[option.type], self._state.zones[option.zone]
             log.info(
                 "renting %d %s in %s%s: %s (backlog %.0f s)", rental.count, kind, zone,
                 " (spot)" if option.spot else "", rental.why, busy,
@@ -355,14 +352,16 @@
 
     def _paced(self, rentals: list[fleet.Rental], machines: Present) -> list[fleet.Rental]:
         """Into a zone that returns and of which nothing answers yet only a few machines, to see."""
-        answering = {option.zone for option, machine in machines if machine.index in self.verified_machines}
+        answering = {
+            option.zone for option, machine in machines if machine.index in self._state.verified_machines
+        }
         out = []
         for rental in rentals:
             zone = rental.option.zone
-            if zone in self.returning_zones and zone not in answering:
-                coming = sum(n for option, n in self.renting.items() if option.zone == zone)
+            if zone in self._state.returning_zones and zone not in answering:
+                coming = sum(n for option, n in self._state.renting.items() if option.zone == zone)
                 there = sum(option.zone == zone for option, _ in machines)
-                count = min(rental.count, self.policy.recovery_least - coming - there)
+                count = min(rental.count, self._state.policy.recovery_least - coming - there)
                 if count <= 0:
                     continue
                 rental = dataclasses.replace(rental, count=count)
@@ -371,61 +370,63 @@
 
     def rented(self, order: RentalOrder, names: list[str], at: float) -> None:
         """A rental request was answered (`names` may be fewer than asked) or refused (none)."""
-        with self.lock:
+        with self._state.lock:
             option = self._option(order)
             self._asked_for(option, -order.count)
-            now = self.clock()
+            now = self._state.clock()
             if len(names) < order.count:
-                self.refused[option] = now + self.policy.refused_s
+                self._state.refused[option] = now + self._state.policy.refused_s
                 log.info(
                     "cloud gave %d of %d %s in %s (spot %s)",
                     len(names), order.count, order.type, order.zone, order.spot,
                 )  # fmt: skip
-            if not self.owner:
+            if not self._state.owner:
                 return
             for name in names:
-                if name in self.gone:
+                if name in self._state.gone:
                     continue
-                machine = self._machine(name, now)
+                machine = self._state.machine_named(name, now)
                 machine.rented = min(machine.rented, at)
                 machine.zone = option.zone
                 machine.spot = option.spot
-                self._size(machine, order.type)
+                self._state.learn_type(machine, order.type)
 
     def not_rented(self, order: RentalOrder) -> None:
         """The request was not sent after all; the cloud has refused nothing."""
-        with self.lock:
+        with self._state.lock:
             self._asked_for(self._option(order), -order.count)
 
     def _option(self, order: RentalOrder) -> fleet.Option:
-        return fleet.Option(self.types_by.index(order.type), self.zones.index(order.zone), order.spot)
+        return fleet.Option(
+            self._state.types_by.index(order.type), self._state.zones.index(order.zone), order.spot
+        )
 
     def _asked_for(self, option: fleet.Option, count: int) -> None:
-        self.renting[option] = max(0, self.renting.get(option, 0) + count)
-        if not self.renting[option]:
-            del self.renting[option]
+        self._state.renting[option] = max(0, self._state.renting.get(option, 0) + count)
+        if not self._state.renting[option]:
+            del self._state.renting[option]
 
     def _deletions(self, step: FleetStep, now: float, needs: list[fleet.Need], listening: float) -> None:
-        facts = self.settings.facts.workers
+        facts = self._state.settings.facts.workers
         # If nobody at all reports, or many machines fall silent together, the fault lies with this controller
         # or the network: wait longer. A wave of spot machines taken shows in the cloud's list.
-        known = [m for m in self.machines.values() if m.reported and not m.deleting]
+        known = [m for m in self._state.machines.values() if m.reported and not m.deleting]
         quiet_now = sum(now - max(m.heard, listening) > 2.5 * facts.report_s for m in known)
         deaf = (
-            now - self.last_report > 3.0
-            or now - self.owner_since < facts.lease_s
+            now - self._state.last_report > 3.0
+            or now - self._state.owner_since < facts.lease_s
             or quiet_now > max(3, len(known) // 4)
         )
         silent = facts.lease_s * (2.5 if deaf else 1.0) + facts.report_s
         # Right after a takeover the workers may still be answered by the deposed owner, who can't know
         # yet if the state service refuses only it; it stops by itself at this bound.
-        unheard = max(silent, self.staleness_limit() + 3.0)
-        spare = sum(m.cpus for m in self.machines.values() if m.usable and not m.open)
+        unheard = max(silent, self._state.staleness_limit() + 3.0)
+        spare = sum(m.cpus for m in self._state.machines.values() if m.usable and not m.open)
         urgent_cancel: set[int] = set()
-        for job in self.jobs.values():
+        for job in self._state.jobs.values():
             if job.cancelled and now - job.cancelled_at > 0.5 * facts.cancel_s:
                 urgent_cancel.update(p.machine for p in job.open.values())
-        for machine in self.machines.values():
+        for machine in self._state.machines.values():
             if machine.deleting:
                 continue
             quiet = now - max(machine.heard, listening)
@@ -445,7 +446,7 @@
 
     def _lost(self, machine: Machine, now: float, quiet: float, patience: float) -> str:
         """Why a machine that has been up is of no use any more, empty if it is."""
-        if machine.missing >= 2 and quiet > self.settings.facts.workers.report_s * 1.5:
+        if machine.missing >= 2 and quiet > self._state.settings.facts.workers.report_s * 1.5:
             return "gone from the cloud's list"
         if quiet > patience:
             return f"silent for {quiet:.0f} s"
@@ -457,7 +458,7 @@
 
     def _never_up(self, machine: Machine, now: float, quiet: float) -> str:
         """Why a machine that nobody has heard yet is given up, empty if it is not."""
-        boot = self.types[machine.type].boot_s if machine.type is not None else 60.0
+        boot = self._state.types[machine.type].boot_s if machine.type is not None else 60.0
         if machine.missing >= 3 or machine.quarantined:
             return "gone or failed while booting"
         if now - machine.rented > max(4.0 * boot, 60.0) and quiet > boot:
@@ -468,20 +469,20 @@
         """Machines to delete even where nobody can be sure to be the owner: a cancelled task there is not
         confirmed stopped and its time is running out. One that holds nothing else costs nobody anything and
         goes early; one with other work only when there is just the time for it left."""
-        with self.lock:
+        with self._state.lock:
             return {machine.name for machine in self._overdue()}
 
     def _overdue(self) -> list[Machine]:
-        now = self.clock()
-        cancel_s = self.settings.facts.workers.cancel_s
+        now = self._state.clock()
+        cancel_s = self._state.settings.facts.workers.cancel_s
         late: dict[int, float] = {}
-        for job in self.jobs.values():
+        for job in self._state.jobs.values():
             if job.cancelled:
                 for place in job.open.values():
                     late[place.machine] = max(late.get(place.machine, 0.0), now - job.cancelled_at)
         out = []
         for index, since in late.items():
-            machine = self.machines[index]
+            machine = self._state.machines[index]
             alone = all(place.job.cancelled for place in machine.open.values())
             if since > (0.5 if alone else 0.75) * cancel_s:
                 out.append(machine)
@@ -490,7 +491,7 @@
     def overdue_step(self) -> FleetStep:
         """The same as something to do."""
         step = FleetStep()
-        with self.lock:
+        with self._state.lock:
             for machine in self._overdue():
                 if not machine.deleting:
                     machine.deleting = True
@@ -509,44 +510,50 @@
         )
 
     def _idle(self, machine: Machine, now: float, needs: list[fleet.Need], spare: float) -> bool:
-        if machine.type is None or machine.idle_since <= 0 or machine.index in self.standing:
+        if machine.type is None or machine.idle_since <= 0 or machine.index in self._state.standing:
             return False
-        waiting = bool(needs) and (machine.spot or self.dear_serves)
-        keep = self.policy.keep_idle_s if spare <= self.reserve(now) else self.policy.surplus_idle_s
-        if not machine.spot and not self.dear_serves:
-            keep = min(keep, self.policy.dear_idle_s)
+        waiting = bool(needs) and (machine.spot or self._state.dear_serves)
+        keep = (
+            self._state.policy.keep_idle_s
+            if spare <= self.reserve(now)
+            else self._state.policy.surplus_idle_s
+        )
+        if not machine.spot and not self._state.dear_serves:
+            keep = min(keep, self._state.policy.dear_idle_s)
         return fleet.should_return(
             now - machine.idle_since, now - machine.rented, not machine.spot, waiting, keep
         )
 
     def reserve(self, now: float) -> float:
         """CPUs worth keeping idle for the next urgent job: the size of those that came lately."""
-        recent = [cpus for at, cpus in self.urgent_jobs if now - at < self.policy.reserve_memory_s]
-        return self.policy.reserve * sum(recent) / len(recent) if recent else 0.0
+        recent = [
+            cpus for at, cpus in self._state.urgent_jobs if now - at < self._state.policy.reserve_memory_s
+        ]
+        return self._state.policy.reserve * sum(recent) / len(recent) if recent else 0.0
 
     def deleted(self, names: Iterable[str]) -> None:
         """The cloud has confirmed (200): the machines and everything on them are gone."""
-        with self.lock:
-            now = self.clock()
+        with self._state.lock:
+            now = self._state.clock()
             for name in names:
-                index = self.machines_by.find(name)
-                machine = self.machines.pop(index, None) if index is not None else None
-                self.gone.add(name)
+                index = self._state.machines_by.find(name)
+                machine = self._state.machines.pop(index, None) if index is not None else None
+                self._state.gone.add(name)
                 if machine is None:
                     continue
                 for place in list(machine.open.values()):
-                    self._close(machine, place, now)
+                    self._state.close(machine, place, now)
                     place.job.requeue(place.task)
-                self.seen.pop(machine.index, None)
-                self.room.remove(machine)
-                self.on_gone(machine.index)
-                self.noticed.pop(machine.index, None)
+                self._state.seen.pop(machine.index, None)
+                self._state.room.remove(machine)
+                self._state.on_gone(machine.index)
+                self._state.noticed.pop(machine.index, None)
 
     def not_deleted(self, names: Iterable[str]) -> None:
         """The deletion was not confirmed: decide anew. The machine may be gone or not."""
-        with self.lock:
+        with self._state.lock:
             for name in names:
-                index = self.machines_by.find(name)
-                machine = self.machines.get(index) if index is not None else None
+                index = self._state.machines_by.find(name)
+                machine = self._state.machines.get(index) if index is not None else None
                 if machine is not None:
                     machine.deleting = False
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -7,9 +7,8 @@
 from collections.abc import Callable
 
 from bayford.admission.features import ADMISSION
-from bayford.clock import NEVER
 from bayford.config import Settings
-from bayford.coordination import handover, work_facts
+from bayford.coordination import handover
 from bayford.coordination import relay as relaying
 from bayford.coordination.admission_control import AdmissionControl, LedgerFacts, sample_of, told_of
 from bayford.coordination.admission_gate import AdmissionGate
@@ -20,6 +19,7 @@
 from bayford.coordination.cloud_calls import CloudCalls
 from bayford.coordination.engine import Engine
 from bayford.coordination.membership import Membership
+from bayford.coordination.peers import SERVED_S, Peers
 from bayford.coordination.responses import Reply
 from bayford.coordination.stall_detector import CHECK_PERIOD_S, StallDetector
 from bayford.coordination.user_requests import UserRequests
@@ -55,7 +55,6 @@
 OWNER_WATCH_S = 0.1  # the owner learns of new jobs and cancellations by it
 WATCH_SHARE = 4.0  # in requests: all the watches together take a quarter of the limit at the most
 COMMIT_GAP_S = 0.05  # between two transactions, that the next one carries more
-SERVED_S = 3.0
 SETTLED_S = 4.0  # after its start, or an attempt, before a controller takes over from an older release
 ISOLATED_S = 4.0  # longer than a member's lease
 STORE_PARTS = ("ledger", "membership", "users", "reads")  # who asks the state service; see `CountedStore`
@@ -96,7 +95,6 @@
         self._counted_stores = {part: CountedStore(store, part) for part in STORE_PARTS}
         self.store = self._counted_stores["ledger"]
         self.incarnation = incarnation
-        self.peers = peers
         self.clock = clock
         self.wall = wall
         self.name = settings.member
@@ -109,10 +107,10 @@
         teams = [t.name for t in facts.teams]
         zones = {peer.member: peer.site for peer in settings.seeds} | {self.name: settings.site}
         self.release = release
-        self._releases: dict[str, int] = {}  # of the other controllers, as each last said
+        self.peers = Peers(self.name, peers, zones, release, clock)
         self.membership = Membership(
             self._counted_stores["membership"], self.mirror, self.name, incarnation, teams, clock, zones,
-            limits=self.limits, older_peers=self.older_peers,
+            limits=self.limits, older_peers=self.peers.older,
             feature_names=[ADMISSION] if engine.policy.admission else [],
         )  # fmt: skip
         self.relay = relaying.Relay(self.name, self.mirror, self.limits, clock, wall)
@@ -146,21 +144,15 @@
         )  # fmt: skip
         self._summary_keys = 0
         self._summary: list[Put] = []  # what is still to be written of the newest one
-        self._unreachable: set[str] = set()
         self.stalls = StallDetector(clock)
         self._adopted = threading.Event()  # set, and replaced by another, whenever we have become owner
         self._born = clock()
         self._succeeded = self._born
         self._handover_tried = self._born
         self._listening = self._born  # since when workers' reports have been taken without a break
-        self._peer_heard = NEVER
-        self._peers_served: dict[str, float] = {}  # when each last said that the state service serves it
-        self._zones = zones
-        engine.with_ledger = self.mirror.with_ledger
-        engine.on_ready = self._on_ready
-        engine.on_halt = self._on_halt
-        engine.on_gone = self._on_gone
-        engine.on_accepted = self._on_accepted
+        engine.connect(
+            self.mirror.with_ledger, self._on_ready, self._on_halt, self._on_gone, self._on_accepted
+        )  # fmt: skip
 
     # -- hooks -----------------------------------------------------------------------------------------
 
@@ -318,10 +310,6 @@
         self._publish()
         return 0.15
 
-    def older_peers(self) -> set[str]:
-        """The other controllers that run an older release than this one."""
-        return {name for name, release in self._releases.items() if release < self.release}
-
     def _take_over_from_older_release(self) -> None:
         """In an upgrade, take over from an older owner before it is killed: no lease has to run out for it,
         and no second takeover is needed. Only where nothing else is amiss: everybody in reach, the state
@@ -331,7 +319,7 @@
             now - self._born >= SETTLED_S
             and now - self._succeeded >= SETTLED_S
             and self._served()
-            and not self._unreachable & set(self.membership.live())
+            and not self.peers.unreachable & set(self.membership.live())
             and self.membership.should_succeed_older()
         ):
             self._succeeded = now
@@ -356,7 +344,7 @@
         ):
             return
         contact = self.engine.worker_contact(now - handover.contact_window(facts.report_s))
-        candidates = set(self.membership.live()) - self.older_peers() - {self.name}
+        candidates = set(self.membership.live()) - self.peers.older() - {self.name}
         successor = handover.successor(contact, candidates)
         if successor is None:
             return
@@ -555,7 +543,7 @@
             and not self.membership.behind
             and not self.isolated()
             and not self._served()
-            and not self._served_peers()
+            and not self.peers.served()
         )
 
     def watch_zones(self) -> None:
@@ -564,7 +552,7 @@
         facts = OwnerFacts(
             self.sure_owner(), self._served(), now - max(self._listening, self.stalls.resumed_at())
         )
-        puts = self.engine.watch_zones(facts, self._reach_by_zone())
+        puts = self.engine.watch_zones(facts, self.peers.reach_by_zone())
         if not puts:
             return
         try:
@@ -575,15 +563,6 @@
             self.engine.zones_not_written(puts)
             raise
 
-    def _reach_by_zone(self) -> dict[str, str]:
-        """Of each zone, how many of its controllers are in reach."""
-        out = {}
-        for zone in set(self._zones.values()):
-            names = [name for name, site in self._zones.items() if site == zone]
-            reached = sum(name not in self._unreachable for name in names)
-            out[zone] = f"{reached} of {len(names)} controllers there in reach"
-        return out
-
     def _fleet_step(self) -> float:
         if self.engine.owner:
             self.cloud_calls.carry_out(self.fleet_once())
@@ -608,7 +587,7 @@
         counts = self._counted_stores["ledger"].counts()
         ledger = LedgerFacts(counts.refused, self.engine.endings() / self.writes.rate)
         put = self._admission.step(
-            term, view, lambda: work_facts.gather(self.engine), ledger, now, self.wall()
+            term, view, self.engine.work_facts, ledger, now, self.wall()
         )  # fmt: skip
         if put is None:
             return
@@ -674,19 +653,10 @@
 
     def _peer_step(self) -> float:
         """Ask the others over the mesh: is the owner in reach, is a higher token about."""
-        for name, ask in self.peers.items():
-            status = ask(0.8)
-            if status is None:
-                self._unreachable.add(name)
-                continue
-            self._unreachable.discard(name)
-            self._peer_heard = self.clock()
-            self._note_release(name, status.release)
+        for status in self.peers.ask_all():
             self.membership.heard(status.token)
-            if status.served:
-                self._peers_served[name] = self.clock()
             if status.submitted is not None:
-                self._admission.note_submitted(name, sample_of(status.submitted), self.clock())
+                self._admission.note_submitted(status.member, sample_of(status.submitted), self.clock())
         if self.membership.behind:
             self.mirror.pull(0.0)
             self._follow_map()
@@ -702,14 +672,6 @@
         self.engine.note_cancelled(cancelled)
         self._kick.set()
 
-    def _note_release(self, name: str, release: int) -> None:
-        if self._releases.get(name) == release:
-            return
-        self._releases[name] = release
-        log.info("%s runs release %d, this is %d", name, release, self.release)
-        if len(self._releases) == len(self.peers) and set(self._releases.values()) == {self.release}:
-            log.info("all %d controllers run release %d", len(self.peers) + 1, self.release)
-
     def status(self) -> mesh.Status:
         """What peers are told."""
         view = self.membership.view
@@ -720,19 +682,13 @@
         """Whether the state service has done what this node asked, lately."""
         return self.clock() - self.membership.renewed < SERVED_S
 
-    def _served_peers(self) -> list[str]:
-        """The others in reach that the state service serves, those in our zone first."""
-        now = self.clock()
-        able = [n for n, at in self._peers_served.items() if now - at <= SERVED_S]
-        return sorted(able, key=lambda n: (self._zones.get(n) != self._zones[self.name], n))
-
     def isolated(self) -> bool:
         """Whether this node alone must be cut off: neither the state service, which in an outage at least
         refuses, nor any other controller has said a word for longer than our lease."""
         now = self.clock()
         return (
-            bool(self.peers)
-            and now - max(self.membership.answered, self._peer_heard, self._born) > ISOLATED_S
+            bool(self.peers.asks)
+            and now - max(self.membership.answered, self.peers.heard_at, self._born) > ISOLATED_S
         )
 
     # -- workers ---------------------------------------------------------------------------------------
@@ -757,7 +713,7 @@
             return Reply(503, jobs.error("no owner yet"))
         if self.relay.stale(report):
             return Reply(421, workers.redirect(view.owner))
-        unreachable = view.owner in self._unreachable
+        unreachable = view.owner in self.peers.unreachable
         # The first report of all has tick 1 or so; a later one with our token comes from the owner.
         left = report.token == view.token and report.tick > 2
         if not self.relay.should_answer(report.machine, unreachable, left):
@@ -765,7 +721,7 @@
         if not self._served():
             # We could neither pass its report on nor know its orders, and the owner would take it for
             # silent: another in reach can do both.
-            able = [name for name in self._served_peers() if name != view.owner]
+            able = [name for name in self.peers.served() if name != view.owner]
             if able:
                 return Reply(421, workers.redirect(able[0]))
         return self._report_relayed(report)
@@ -832,7 +788,7 @@
         """
         if self.mirror.revision < 0 or self.isolated():
             return False
-        return self._served() or not self._served_peers()
+        return self._served() or not self.peers.served()
 
     def submit(self, body: bytes) -> Reply:
         """Accept a job."""
--- a/bayford/coordination/load_spreader.py
+++ b/bayford/coordination/load_spreader.py
@@ -98,12 +98,11 @@
     def _known(self, now: float) -> list[MachinePicture]:
         """The machines between which this round moves work: answering ones, by facts that are not old."""
         state = self._state
-        oldest_s = state.policy.standing_quiet * state.settings.facts.workers.report_s
         found = []
         for machine in state.machines.values():
             if machine.reported and machine.type is None:
                 self._log_unknown_type(machine)
-            elif machine.kept_until <= now and picture(machine, now).accepts(oldest_s):
+            elif machine.kept_until <= now and picture(machine, now).accepts(state.quiet_s):
                 found.append(machine)
         return [picture(machine, now) for machine in self._balancer.known(found)]
 
@@ -126,7 +125,7 @@
         job = place.job
         spec = job.spec
         policy = self._state.policy
-        if spec.shape != ARRAY or place.running_since is None or place.halting or place.on_turn:
+        if spec.shape != ARRAY or place.running_since is None or place.halting or place.unpreemptable:
             return False
         if spec.checkpoint_s <= 0 and spec.job_class not in policy.spread_lossy:
             return False
--- a/bayford/coordination/mover.py
+++ b/bayford/coordination/mover.py
@@ -13,7 +13,6 @@
 
 log = logging.getLogger("bayford.engine")
 
-SAVE_MARGIN = 1.5  # of the time that a task says it needs to save
 FORGET_S = 5.0  # a move whose count became durable later than this is not begun: the picture has changed
 
 
@@ -51,7 +50,7 @@
             job = move.place.job
             job.hints[move.place.task] = move.target
             saves = job.spec.checkpoint_s > 0
-            self._state.halt(move.place, job.spec.save_s * SAVE_MARGIN if saves else 0.0)
+            self._state.halt(move.place, job.spec.save_grace_s if saves else 0.0)
             self._state.moves += 1
 
     def _obstacle(self, move: Relocation) -> str:
--- a/bayford/coordination/owner_state.py
+++ b/bayford/coordination/owner_state.py
@@ -14,7 +14,7 @@
 from bayford.clock import NEVER
 from bayford.config import Settings
 from bayford.coordination import estimate
-from bayford.coordination.batch import Batch, BatchMaker, Relocation
+from bayford.coordination.batch import Batch, Relocation
 from bayford.coordination.limits import Limits
 from bayford.protocol import workers
 from bayford.scheduling import fleet
@@ -245,24 +245,26 @@
         if spec.shape != SERVICE:
             self.standing_classes.discard(spec.job_class)
         for task, (attempt, name, session) in progress.open.items() if progress is not None else ():
-            machine = self._machine(name, now)
-            place = self._placement(job, task, attempt, machine, session)
+            machine = self.machine_named(name, now)
+            place = self.new_placement(job, task, attempt, machine, session)
             place.durable = True
-            self._book(job, machine, place)
+            self.book(job, machine, place)
             if job.cancelled:  # the cancellation outlives the owner that saw it
                 self.halt(place, 0.0)
         if not job.cancelled:
             job.waiting = [
                 t for t in range(spec.tasks - 1, -1, -1) if t not in job.done and t not in job.open
             ]
-        self._settle_job(job)
+        self.settle_job(job)
         return job
 
-    def _placement(self, job: Job, task: int, attempt: int, machine: Machine, session: int) -> Placement:
+    def new_placement(self, job: Job, task: int, attempt: int, machine: Machine, session: int) -> Placement:
+        """A placement that is not booked yet."""
         part = workers.task_name(job.spec.id, task)
         return Placement(job, task, attempt, machine.index, session, part)
 
-    def _machine(self, name: str, now: float) -> Machine:
+    def machine_named(self, name: str, now: float) -> Machine:
+        """The machine of this name, a new one if nothing of it was known."""
         index = self.machines_by.index(name)
         machine = self.machines.get(index)
         if machine is None:
@@ -274,7 +276,8 @@
             self.seen[index] = {}
         return machine
 
-    def _size(self, machine: Machine, type_name: str) -> None:
+    def learn_type(self, machine: Machine, type_name: str) -> None:
+        """Take in a machine's type, and with it its size, unless it is known already."""
         index = self.types_by.index(type_name)
         if machine.type is not None or index >= len(self.types):
             return
@@ -288,7 +291,7 @@
         machine.free_mem += kind.mem_gb
         self.room.update(machine)
 
-    def _use_image(self, machine: Machine, job: Job, there: bool) -> None:
+    def use_image(self, machine: Machine, job: Job, there: bool) -> None:
         """A task of the job is on the machine, and with `there` its image too. The machine keeps those that
         were used last, so in our picture the ones used longest ago go when the cache is full."""
         had = machine.images.pop(job.image, False)
@@ -307,7 +310,8 @@
             self.room.dropped(machine, image)
             left -= self.image_gb.get(image, 0.0)
 
-    def _book(self, job: Job, machine: Machine, place: Placement) -> None:
+    def book(self, job: Job, machine: Machine, place: Placement) -> None:
+        """Count a placement: from now on until evidence closes it."""
         job.open[place.task] = place
         machine.open[place.key] = place
         machine.idle_since = 0.0
@@ -336,7 +340,7 @@
         """How long after its acceptance the job should be done: its deadline, or its class's aim, if any."""
         return job.spec.deadline_s or self.targets.get(job.spec.job_class)
 
-    def _touch(self, job: Job, task: int) -> None:
+    def touch(self, job: Job, task: int) -> None:
         """The task's state has changed and has to be written."""
         self.dirty.setdefault(job.spec.id, set()).add(task)
 
@@ -345,61 +349,7 @@
         flying = {} if self.flying is None else self.flying.tasks
         return task in self.dirty.get(job_id, ()) or task in flying.get(job_id, ())
 
-    def take_batch(self, ops: int) -> Batch | None:
-        """The next transaction: rows of the ledger with what has changed, urgent work first, and the records
-        of jobs that are complete, within `ops` changes and the size limit.
-
-        Conditional on the map, so a deposed owner writes nothing; on the slots that the rows take, so a
-        transaction that was given up on and comes late can't be applied beside what came after it; and on
-        the records, so that nobody's cancellation is overwritten.
-        """
-        with self.lock:
-            if not self.owner or not self.complete or not self.has_news() or self.flying is not None:
-                return None
-            self.flying = self.with_ledger(lambda ledger: BatchMaker(self, ledger, ops).make())
-            return self.flying
-
-    def committed(self, batch: Batch) -> None:
-        """The batch is durable: its placements may start, its jobs may be told."""
-        with self.lock:
-            if not self.owner or batch.term != self.term:
-                return  # it is of an earlier term, and says nothing of the jobs of now
-            self.flying = None
-            wake = set()
-            for place in batch.placements:
-                if place.job.open.get(place.task) is place:
-                    place.durable = True
-                    wake.add(place.machine)
-            for name in batch.over:
-                self._drop_job(name)
-            for index in wake:
-                self.on_ready(index)
-            for moves in batch.moves.values():
-                self.on_moves_counted(moves)
-
-    def not_committed(self, batch: Batch) -> None:
-        """Refused, conflicting or unanswered: everything in it is to be written again.
-
-        After no answer the transaction may still be applied; then the next one conflicts at the slot, and
-        once that row is read the next goes after it. It says the same things once more, which does no harm.
-        Until one of ours is known to have been applied, its placements stay open and unstarted.
-        """
-        with self.lock:
-            if batch.term != self.term:
-                return
-            self.flying = None
-            for name, tasks in batch.tasks.items():
-                if name in self.jobs:
-                    self.dirty.setdefault(name, set()).update(tasks)
-            for name in batch.over:
-                if name in self.jobs:
-                    self.ending[name] = None
-            for name, moves in batch.moves.items():
-                if name in self.jobs:
-                    self.uncounted.setdefault(name, []).extend(moves)
-            self.old_counts.update(dict.fromkeys(batch.dropped_counts))
-
-    def _drop_job(self, name: str) -> None:
+    def drop_job(self, name: str) -> None:
         """The job is over and closed in the ledger."""
         for held in (self.jobs, self.dirty, self.ending, self.uncounted):
             held.pop(name, None)
@@ -435,7 +385,7 @@
         log.info("job %s cancelled, %d tasks to stop", job.spec.id, len(job.open))
         for place in job.open.values():
             self.halt(place, 0.0)
-        self._settle_job(job)
+        self.settle_job(job)
 
     def halt(self, place: Placement, grace_s: float) -> None:
         """Stop a task, by a direct command if its machine can be reached."""
@@ -443,7 +393,7 @@
         self.halting[place] = None
         self.on_halt(place.machine)
 
-    def _settle_job(self, job: Job) -> None:
+    def settle_job(self, job: Job) -> None:
         """If the job is over and on no machine, have it closed in the ledger; the mirror keeps its record."""
         if not job.open and (job.cancelled or job.finished):
             self.ending[job.spec.id] = None
@@ -469,11 +419,11 @@
             job.stamp = stamp
             if record.finished:
                 # Our own write, whose answer was lost: the rows beside it closed the job as well.
-                self._drop_job(spec.id)
+                self.drop_job(spec.id)
             elif record.cancelled and not job.cancelled:
                 self._cancel(job, record.cancelled)
 
-    def _close(self, machine: Machine, place: Placement, now: float) -> None:
+    def close(self, machine: Machine, place: Placement, now: float) -> None:
         """Only ever called on evidence: ended, a later session, cancelled and absent, machine deleted."""
         job = place.job
         del machine.open[place.key]
@@ -485,12 +435,17 @@
         self.shares[job.team].give(job.spec)
         if not machine.open:
             machine.idle_since = now
-        self._touch(job, place.task)
+        self.touch(job, place.task)
         if job.cancelled:
-            self._settle_job(job)
+            self.settle_job(job)
         elif job.standing and place.running_since is not None:
             job.down[place.task] = (now, now - machine.heard)
 
+    @property
+    def quiet_s(self) -> float:
+        """How long a machine may have been unheard for a replica, or moved work, to go there."""
+        return self.policy.standing_quiet * self.settings.facts.workers.report_s
+
     def staleness_limit(self) -> float:
         """How old a controller's view may be for it to answer reports: owner or relay, both alike.
 
@@ -504,14 +459,6 @@
         spare = max(0.0, facts.cancel_s - facts.lease_s)
         return spare - min(5.0, 0.25 * spare)
 
-    def has_news(self) -> bool:
-        """Whether something waits to be written."""
-        return bool(self.dirty or self.ending or self.uncounted)
-
-    def endings(self) -> int:
-        """How many jobs wait to be called done, or closed."""
-        return len(self.ending)
-
     def summary(self) -> list[tuple[str, float, list[str]]]:
         """What this controller tells the others now and then: name, load and images of its machines."""
         with self.lock:
--- a/bayford/coordination/preemptor.py
+++ b/bayford/coordination/preemptor.py
@@ -107,7 +107,7 @@
                 victim.job.note_stop(victim.place.task)
                 search.shares[victim.job.team].give(victim.job.spec)
                 saves = victim.job.spec.checkpoint_s > 0
-                state.halt(victim.place, victim.job.spec.save_s * 1.5 if saves else 0.0)
+                state.halt(victim.place, victim.job.spec.save_grace_s if saves else 0.0)
                 search.stops -= 1
             log.info("job %s waits: stopping %s", job.spec.id, [v.place.part for v in found])
 
@@ -155,7 +155,7 @@
             gives = place.job.spec
             if (cpus > EPS and gives.cpus > 0) or (gpus > EPS and gives.gpus > 0):
                 cpus, gpus = cpus - gives.cpus, gpus - gives.gpus
-                state.halt(place, gives.save_s * 1.5 if gives.checkpoint_s > 0 else 0.0)
+                state.halt(place, gives.save_grace_s if gives.checkpoint_s > 0 else 0.0)
                 stops += 1
         if stops:
             log.info("job %s waits for its team's limit: stopping %d tasks of the team", spec.id, stops)
@@ -189,7 +189,7 @@
         state = self._state
         now = search.now
         counts = placement.zones_open(waiting, state.zone_of)
-        quiet = state.policy.standing_quiet * state.settings.facts.workers.report_s
+        quiet = state.quiet_s
         out: list[tuple[float, int, list[preemption.Victim]]] = []
         for machine in self._window(placement.candidates(waiting, search.machines, counts, now)):
             if waiting.standing and not placement.steady(machine, now, quiet):
@@ -197,7 +197,7 @@
             found = [
                 preemption.Victim(place.job, place, self._loss(place, search))
                 for place in machine.open.values()
-                if not place.on_turn
+                if not place.unpreemptable
                 and preemption.may_stop(waiting, place.job, search.shares, owed)
                 and not (waiting.spec.priority < URGENT and self._ends_soon(place, now))
             ]
--- a/bayford/coordination/relay.py
+++ b/bayford/coordination/relay.py
@@ -95,7 +95,7 @@
             return False
 
     def note(self, report: workers.Report) -> None:
-        """Keep a sheltered machine's newest report for the owner."""
+        """Keep a relayed machine's newest report for the owner."""
         with self._lock:
             old = self._reports.get(report.machine)
             if old is None or (report.session, report.tick) > (old[1].session, old[1].tick):
--- a/bayford/coordination/scheduling_round.py
+++ b/bayford/coordination/scheduling_round.py
@@ -3,21 +3,17 @@
 import dataclasses
 import logging
 import math
-import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from bayford.config import Settings
 from bayford.coordination.balancer import Balancer
 from bayford.coordination.load_spreader import LoadSpreader
 from bayford.coordination.mover import Mover
+from bayford.coordination.owner_state import OwnerState
 from bayford.coordination.preemptor import Preemptor
-from bayford.coordination.worker_reports import WorkerReports
-from bayford.coordination.zone_watch import ZoneWatch
 from bayford.recovery import return_order
 from bayford.scheduling import placement
 from bayford.scheduling.model import EPS, GANG, URGENT, Job, Machine
-from bayford.scheduling.policy import Policy
 from bayford.spread.score import Choice
 
 log = logging.getLogger("bayford.engine")
@@ -34,33 +30,25 @@
     count: int  # how many of its tasks may be placed at this place of the queue
 
 
-class SchedulingRound(WorkerReports):
-    """One round over the queue of waiting work."""
+class SchedulingRound:
+    """One round over the queue of waiting work. Takes the lock of the owner's state by itself."""
 
-    def __init__(
-        self,
-        settings: Settings,
-        policy: Policy,
-        clock: Callable[[], float],
-        wall: Callable[[], float],
-        rng: random.Random,
-    ) -> None:
-        super().__init__(settings, policy, clock, wall, rng)
-        self.preemptor = Preemptor(self)
-        self.mover = Mover(self)
-        self.balancer = Balancer(self, self.mover)
-        self.spreader = LoadSpreader(self, self.balancer, self.mover)
-        self.zone_watch = ZoneWatch(self)
+    def __init__(self, state: OwnerState) -> None:
+        self._state = state
+        self.preemptor = Preemptor(state)
+        self.mover = Mover(state)
+        self.balancer = Balancer(state, self.mover)
+        self.spreader = LoadSpreader(state, self.balancer, self.mover)
 
     def round(self) -> None:
         """Place what waits, then make room for what may push others out."""
-        with self.lock:
-            if not self.owner or not self.complete:
+        with self._state.lock:
+            if not self._state.owner or not self._state.complete:
                 return
-            now = self.clock()
-            for machine in self.noticed.values():
+            now = self._state.clock()
+            for machine in self._state.noticed.values():
                 self._drain(machine, now)
-            queue = self._queue(now)
+            queue = self.queue(now)
             self.preemptor.make_room_under_limits(now)
             if not queue:
                 self.spreader.step(False, now)
@@ -68,8 +56,8 @@
             self._place_all(queue, now)
             waiting = list(dict.fromkeys(entry.job for entry in queue))
             self.preemptor.make_room(waiting, now)
-            if now - self.balanced_at >= self.policy.balance_every_s:
-                self.balanced_at = now
+            if now - self._state.balanced_at >= self._state.policy.balance_every_s:
+                self._state.balanced_at = now
                 self.balancer.free_room(waiting, now)
             self.spreader.step(any(job.waiting for job in waiting), now)
 
@@ -79,18 +67,18 @@
         In a backlog, room on a machine without a job's image is better left to a job whose image is there,
         as long as the first finds its own on enough other machines: a fetch takes as long as many a task.
         """
-        if self.returning_zones:
+        if self._state.returning_zones:
             queue = self._place_returning(queue, now)
-        local = self._spread_images(now) if self.room else frozenset()
+        local = self._spread_images(now) if self._state.room else frozenset()
         passed: list[tuple[Job, int]] = []
         for entry in queue:
             job, count = entry.job, entry.count
-            if not self.room:
+            if not self._state.room:
                 job.why_waiting = NO_ROOM
                 continue
             # Where load is spread, the cost of a fetch decides against the load instead.
             picky = (
-                not self.policy.spread
+                not self._state.policy.spread
                 and job.image in local
                 and job.spec.priority < URGENT
                 and job.spec.shape != GANG
@@ -101,7 +89,7 @@
             if picky and count > 0 and job.waiting:
                 passed.append((job, count))
         for job, count in passed:
-            if not self.room:
+            if not self._state.room:
                 break
             self._place(job, count, now)
 
@@ -110,11 +98,11 @@
 
         A class further down is offered what those above it leave. Each machine fetches one image at a time.
         """
-        order = self.policy.return_order
+        order = self._state.policy.return_order
         left = {}
         for entry in sorted(queue, key=lambda entry: return_order.rank(entry.job, order)):
             before = len(entry.job.waiting)
-            if before and self.room:
+            if before and self._state.room:
                 self._place(entry.job, entry.count, now, returning=True)
             left[entry.order, entry.job.spec.id] = entry.count - (before - len(entry.job.waiting))
         counted = [dataclasses.replace(e, count=left[e.order, e.job.spec.id]) for e in queue]
@@ -122,19 +110,19 @@
 
     def _spread_images(self, now: float) -> frozenset[int]:
         """Images that are on so many machines that a job may wait for room on one of them."""
-        if now - self.images_at > 2.0:
-            self.images_at = now
+        if now - self._state.images_at > 2.0:
+            self._state.images_at = now
             count: dict[int, int] = {}
-            machines = [m for m in self.machines.values() if m.usable]
+            machines = [m for m in self._state.machines.values() if m.usable]
             for machine in machines:
                 for image, there in machine.images.items():
                     count[image] = count.get(image, 0) + there
-            enough = self.policy.image_share * len(machines)
-            self.local_images = frozenset(i for i, n in count.items() if n > enough)
-        return self.local_images
+            enough = self._state.policy.image_share * len(machines)
+            self._state.local_images = frozenset(i for i, n in count.items() if n > enough)
+        return self._state.local_images
 
-    def _queue(self, now: float, turns: bool = True) -> list[QueueEntry]:
-        """Jobs with waiting tasks in the order of service.
+    def queue(self, now: float, turns: bool = True) -> list[QueueEntry]:
+        """Jobs with waiting tasks in the order of service. Called under the lock.
 
         Urgent work first; then jobs that lie within their team's guarantee, then work of teams that use less
         than theirs, then the rest; in each by priority; among equals the job with the least work left, so
@@ -148,37 +136,37 @@
         """
         out: list[QueueEntry] = []
         entitled = self._entitled()
-        for job in self.jobs.values():
+        for job in self._state.jobs.values():
             if job.resting:
                 job.wake(now)
             if not job.waiting or job.cancelled or job.not_before > now:
                 continue
-            share = self.shares[job.team]
+            share = self._state.shares[job.team]
             room = share.room(job.spec)
             if job.spec.shape == GANG and (job.open or room < len(job.waiting)):
                 room = 0  # all together or not at all
             if room <= 0:
                 job.why_waiting = "team limit"
                 continue
-            run = self.expected(job)
+            run = self._state.expected(job)
             age = now - job.created
             count = min(room, len(job.waiting))
-            if turns and self._has_turn(job, now):
-                turn = math.ceil(job.spec.tasks * self.policy.turn_share)
+            if turns and self._is_starved(job, now):
+                turn = math.ceil(job.spec.tasks * self._state.policy.turn_share)
                 out.append(QueueEntry((-1.0, job.created), job, min(count, turn)))
             if job.spec.priority >= URGENT:
                 order: tuple[float, ...] = (0.0, 0.0, -float(job.spec.priority), self._rank(job, run, age))
                 out.append(QueueEntry(order, job, count))
                 continue
             owed = min(count, share.owed(job.spec))
-            if owed and age > self.policy.guarantee_wait_s:
+            if owed and age > self._state.policy.guarantee_wait_s:
                 out.append(QueueEntry((1.0, 0.0, 0.0, -age), job, owed))
             guaranteed = 1.0
-            if self.policy.guarantee_first and owed:
+            if self._state.policy.guarantee_first and owed:
                 guaranteed = 0.0 if job.spec.id in entitled else 0.5
             # Where the users have no aim for single jobs, the longest tasks go first: begun last, they would
             # run on alone when all else is through.
-            aimless = self.due_s(job) is None
+            aimless = self._state.due_s(job) is None
             rank = -run if aimless else self._rank(job, run, age)
             order = (2.0, guaranteed, -float(job.spec.priority), float(aimless), rank)
             out.append(QueueEntry(order, job, count))
@@ -188,9 +176,9 @@
     def _entitled(self) -> set[str]:
         """The jobs that need not wait for other teams: each fits into its team's guarantee together with the
         team's earlier unfinished jobs. Others of a team that uses less than that are served after them."""
-        left = [(share.cpus, share.gpus) for share in self.shares]
+        left = [(share.cpus, share.gpus) for share in self._state.shares]
         out = set()
-        for job in sorted(self.jobs.values(), key=lambda j: j.created):
+        for job in sorted(self._state.jobs.values(), key=lambda j: j.created):
             spec = job.spec
             cpus, gpus = left[job.team]
             left[job.team] = cpus - spec.cpus * spec.tasks, gpus - spec.gpus * spec.tasks
@@ -200,11 +188,11 @@
 
     def waiting(self, most: int = 5) -> list[str]:
         """For the log: the oldest waiting jobs and why they wait, and how the whole stands."""
-        with self.lock:
-            if not self.owner:
+        with self._state.lock:
+            if not self._state.owner:
                 return []
-            now = self.clock()
-            queue = sorted((j for j in self.jobs.values() if j.waiting), key=lambda j: j.created)
+            now = self._state.clock()
+            queue = sorted((j for j in self._state.jobs.values() if j.waiting), key=lambda j: j.created)
             lines = []
             for job in queue[:most]:
                 why = "failed runs, next try later" if job.not_before > now else job.why_waiting
@@ -212,13 +200,14 @@
                     f"job {job.spec.id} of {job.spec.team}: {len(job.waiting)} tasks wait since "
                     f"{now - job.created:.0f} s: {why or 'its turn has not come'}"
                 )
-            running = sum(len(m.open) for m in self.machines.values())
-            reporting = sum(m.reported for m in self.machines.values())
+            running = sum(len(m.open) for m in self._state.machines.values())
+            reporting = sum(m.reported for m in self._state.machines.values())
+            state = self._state
             lines.append(
-                f"{len(queue)} jobs wait, {running} tasks placed on {len(self.machines)} machines "
-                f"({reporting} reporting); refusals {self.refusals}, "
-                f"balancer asked {self.balance_asked}, tried {self.balance_tried}, moves {self.moves}, "
-                f"starts {self.starts}"
+                f"{len(queue)} jobs wait, {running} tasks placed on {len(state.machines)} machines "
+                f"({reporting} reporting); refusals {state.refusals}, "
+                f"balancer asked {state.balance_asked}, tried {state.balance_tried}, moves {state.moves}, "
+                f"starts {state.starts}"
             )
             return lines
 
@@ -226,9 +215,9 @@
         """Work left, shrinking with age: small jobs first, yet none for ever last. Of services the one that
         lacks the fewest replicas."""
         if job.standing:
-            return len(job.waiting) / (1.0 + age / self.policy.aging_s)
+            return len(job.waiting) / (1.0 + age / self._state.policy.aging_s)
         left = (len(job.waiting) + 0.5 * len(job.open)) * run * max(job.spec.cpus, 0.1)
-        return left / (1.0 + age / self.policy.aging_s)
+        return left / (1.0 + age / self._state.policy.aging_s)
 
     def _place(
         self, job: Job, count: int, now: float, with_image_only: bool = False, returning: bool = False
@@ -236,64 +225,69 @@
         """Place up to `count` tasks; `with_image_only`: on machines that hold the image, or fetch it;
         `returning`: on those of zones that return, else on those of all others."""
         zoned = job.spec.one_zone or job.spec.spread
-        if zoned and any(self.zone_of(p.machine) is None for p in job.open.values()):
+        if zoned and any(self._state.zone_of(p.machine) is None for p in job.open.values()):
             # After a takeover a machine with tasks of the job may not have been heard yet: where it
             # stands is unknown, so the zone rules can't be checked.
             job.why_waiting = "zone of a running task unknown"
             return
-        counts = placement.zones_open(job, self.zone_of) if zoned else {}
+        counts = placement.zones_open(job, self._state.zone_of) if zoned else {}
         # The cheap machines alone are in time: let the dear ones run empty and go back.
-        cheap_only = not self.dear_serves and job.spec.priority < URGENT and job.spec.spot and job.cheap_hosts
+        cheap_only = (
+            not self._state.dear_serves and job.spec.priority < URGENT and job.spec.spot and job.cheap_hosts
+        )
 
         def open_to_job(machine: Machine) -> bool:
             return (
                 placement.eligible(job, machine, counts, now)
-                and (not cheap_only or machine.spot or machine.index in self.standing)
+                and (not cheap_only or machine.spot or machine.index in self._state.standing)
                 and self._zone_open(job, machine, returning)
             )
 
         def may_take(machine: Machine) -> bool:
             return open_to_job(machine) and (not with_image_only or job.image in machine.images)
 
+        roomy = self._state.room.machines
         if job.spec.shape == GANG:
-            self._place_gang(job, [m for m in self.room.machines.values() if may_take(m)], now)
+            self._place_gang(job, [m for m in roomy.values() if may_take(m)], now)
         elif job.standing:
-            self._place_service(job, count, [m for m in self.room.machines.values() if may_take(m)], now)
+            self._place_service(
+                job, count, [m for m in self._state.room.machines.values() if may_take(m)], now
+            )
         elif zoned:
-            self._place_zoned(job, count, [m for m in self.room.machines.values() if may_take(m)], now)
+            self._place_zoned(job, count, [m for m in roomy.values() if may_take(m)], now)
         else:
             self._place_array(job, count, open_to_job, with_image_only, now)
 
     def _zone_open(self, job: Job, machine: Machine, returning: bool) -> bool:
         """Whether the state of its zone lets the machine take a task of the job."""
-        if machine.zone in self.closed_zones:
+        if machine.zone in self._state.closed_zones:
             return False
-        if (machine.zone in self.returning_zones) != returning:
+        if (machine.zone in self._state.returning_zones) != returning:
             return False
         return not returning or (
-            machine.index in self.verified_machines and return_order.fetch_allowed(job, machine)
+            machine.index in self._state.verified_machines and return_order.fetch_allowed(job, machine)
         )
 
     def _place_array(
         self, job: Job, count: int, may_take: Callable[[Machine], bool], with_image_only: bool, now: float
     ) -> None:
         """Tasks that go anywhere: as many machines as there are tasks are enough to choose from."""
-        share = self.shares[job.team]
+        share = self._state.shares[job.team]
         wanted = min(count, len(job.waiting), share.room(job.spec))
         if wanted <= 0:
             return
-        if self.policy.spread:
+        if self._state.policy.spread:
             self._place_by_cost(job, wanted, may_take, now)
             return
-        machines = self.room.best(job, wanted, may_take, with_image_only)
-        on_turn = self._has_turn(job, now)
+        machines = self._state.room.best(job, wanted, may_take, with_image_only)
+        starved = self._is_starved(job, now)
         placed = 0
         while placed < wanted:
             machine = self._hinted(job, may_take) or placement.first(job, machines)
             if machine is None:
                 job.why_waiting = NO_ROOM
                 break
-            self._put(job, job.waiting.pop(), machine, now, on_turn)
+            self._put(job, job.waiting.pop(), machine, now, starved)
             placed += 1
         if placed:
             log.debug("job %s: placed %d, %d wait", job.spec.id, placed, len(job.waiting))
@@ -301,7 +295,7 @@
     def _place_by_cost(self, job: Job, count: int, may_take: Callable[[Machine], bool], now: float) -> None:
         """The same where load is spread: each task where it costs least, with those before it booked."""
         chooser = self.spreader.chooser(job, count, may_take)
-        on_turn = self._has_turn(job, now)
+        starved = self._is_starved(job, now)
         choices: list[Choice] = []
         held: dict[int, bool] = {}
         for _ in range(count):
@@ -314,7 +308,7 @@
                 machine = choice.machine
                 held.setdefault(machine.index, machine.images.get(job.image, False))
                 choices.append(choice)
-            self._put(job, job.waiting.pop(), machine, now, on_turn)
+            self._put(job, job.waiting.pop(), machine, now, starved)
             if choices and choices[-1].machine is machine:
                 chooser.placed(choices[-1])
         self.spreader.log_choices(job, choices, held)
@@ -322,16 +316,16 @@
     def _hinted(self, job: Job, may_take: Callable[[Machine], bool]) -> Machine | None:
         """The machine that the balancer chose for the next task, if there is room on it still."""
         hint = job.hints.pop(job.waiting[-1], None)
-        machine = None if hint is None else self.machines.get(hint)
+        machine = None if hint is None else self._state.machines.get(hint)
         return machine if machine is not None and machine.has_room(job.spec) and may_take(machine) else None
 
     def _place_zoned(self, job: Job, count: int, machines: list[Machine], now: float) -> None:
         """Tasks of an array that is bound together or apart: each placement changes which zones are open."""
         machines = placement.ranked(job, machines)
-        share = self.shares[job.team]
-        on_turn = self._has_turn(job, now)
+        share = self._state.shares[job.team]
+        starved = self._is_starved(job, now)
         while job.waiting and count > 0 and share.allows(job.spec):
-            counts = placement.zones_open(job, self.zone_of)
+            counts = placement.zones_open(job, self._state.zone_of)
             machines = placement.candidates(job, machines, counts, now)
             hint = job.hints.pop(job.waiting[-1], None)
             hinted = [m for m in machines if m.index == hint and m.has_room(job.spec)]
@@ -339,16 +333,16 @@
             if machine is None:
                 job.why_waiting = NO_ROOM
                 break
-            self._put(job, job.waiting.pop(), machine, now, on_turn)
+            self._put(job, job.waiting.pop(), machine, now, starved)
             count -= 1
 
     def _place_service(self, job: Job, count: int, machines: list[Machine], now: float) -> None:
         """Replicas one by one, since each changes which machine is best for the next."""
-        quiet = self.policy.standing_quiet * self.settings.facts.workers.report_s
+        quiet = self._state.quiet_s
         machines = [m for m in machines if placement.steady(m, now, quiet)]
-        share = self.shares[job.team]
+        share = self._state.shares[job.team]
         while job.waiting and count > 0 and share.allows(job.spec):
-            zones = placement.zones_open(job, self.zone_of)
+            zones = placement.zones_open(job, self._state.zone_of)
             fit = [
                 m
                 for m in machines
@@ -362,30 +356,32 @@
                 fit,
                 key=lambda m: (
                     m.index != hint,
-                    *placement.shelter(job, m, zones, self.fetch_s(job, m), self.policy.spread_s),
+                    *placement.replica_rank(
+                        job, m, zones, self._state.fetch_s(job, m), self._state.policy.spread_s
+                    ),
                 ),
             )
             self._put(job, job.waiting.pop(), best, now, False)
             count -= 1
 
-    def _has_turn(self, job: Job, now: float) -> bool:
+    def _is_starved(self, job: Job, now: float) -> bool:
         """Whether the job has gone without a start for so long that it is its turn, whoever else waits."""
-        return now - max(job.placed_at, job.created) > self.policy.turn_s
+        return now - max(job.placed_at, job.created) > self._state.policy.turn_s
 
     def _put(
-        self, job: Job, task: int, machine: Machine, now: float, on_turn: bool, attempt: int | None = None
+        self, job: Job, task: int, machine: Machine, now: float, starved: bool, attempt: int | None = None
     ) -> None:
         if attempt is None:
-            attempt = self.next_attempt
-        self.next_attempt = max(self.next_attempt, attempt + 1)
-        place = self._placement(job, task, attempt, machine, machine.session)
-        self._book(job, machine, place)
-        self._touch(job, task)
-        self.on_placed(place)
-        place.on_turn = on_turn
+            attempt = self._state.next_attempt
+        self._state.next_attempt = max(self._state.next_attempt, attempt + 1)
+        place = self._state.new_placement(job, task, attempt, machine, machine.session)
+        self._state.book(job, machine, place)
+        self._state.touch(job, task)
+        self._state.on_placed(place)
+        place.unpreemptable = starved
         place.placed_at = now
         job.placed_at = now
-        self._use_image(machine, job, there=False)
+        self._state.use_image(machine, job, there=False)
         if machine.kept_for == job.spec.id:
             machine.kept_until = 0.0
 
@@ -396,24 +392,24 @@
             job.why_waiting = "no room for the whole gang"
             return
         # One attempt number for the whole gang: its tasks come together by it.
-        attempt = self.next_attempt
-        on_turn = self._has_turn(job, now)
+        attempt = self._state.next_attempt
+        starved = self._is_starved(job, now)
         for machine in picks:
-            self._put(job, job.waiting.pop(), machine, now, on_turn, attempt)
+            self._put(job, job.waiting.pop(), machine, now, starved, attempt)
 
     def _drain(self, machine: Machine, now: float) -> None:
         """A spot notice: save what can be saved in time, give up early on what can't finish."""
         left = (machine.notice or now) - now
-        report_s = self.settings.facts.workers.report_s
+        report_s = self._state.settings.facts.workers.report_s
         for place in machine.open.values():
             if place.halting:
                 continue
             job = place.job
-            save = job.spec.save_s * 1.5 + 1.5 * report_s + 1.0 if job.spec.checkpoint_s else 0.0
+            save = job.spec.save_grace_s + 1.5 * report_s + 1.0 if job.spec.checkpoint_s else 0.0
             ran = 0.0 if place.running_since is None else now - place.running_since
-            ends_in = max(0.0, self.expected(job) - ran)
+            ends_in = max(0.0, self._state.expected(job) - ran)
             if job.spec.checkpoint_s:
                 if left <= save + 1.0:
-                    self.halt(place, job.spec.save_s * 1.5)
+                    self._state.halt(place, job.spec.save_grace_s)
             elif ends_in > left * 1.5:
-                self.halt(place, 0.0)
+                self._state.halt(place, 0.0)
--- a/bayford/coordination/worker_reports.py
+++ b/bayford/coordination/worker_reports.py
@@ -18,8 +18,11 @@
 REST_S = 30.0  # and one that ends at every start waits for so long at the most
 
 
-class WorkerReports(OwnerState):
-    """Reports in, orders out."""
+class WorkerReports:
+    """Reports in, orders out. Takes the lock of the owner's state by itself."""
+
+    def __init__(self, state: OwnerState) -> None:
+        self._state = state
 
     def on_report(
         self, report: workers.Report, after: float = NEVER, relay: str = "", asked: bool = False
@@ -30,16 +33,16 @@
         before it on the same connection. Reports may be minutes late, and only this tells. `asked`: it is
         the answer to a direct command, and an answer of ours may still be on its way.
         """
-        with self.lock:
-            if not self.owner or not self.complete or report.machine in self.gone:
+        with self._state.lock:
+            if not self._state.owner or not self._state.complete or report.machine in self._state.gone:
                 return None
-            now = self.clock()
-            machine = self._machine(report.machine, now)
+            now = self._state.clock()
+            machine = self._state.machine_named(report.machine, now)
             order = (report.session, report.tick)
             if order <= (machine.session, machine.tick) and machine.reported:
                 # Overtaken, by an answer of /commands perhaps: it tells nothing, but it can be answered.
                 return machine.index if report.session == machine.session else None
-            self.last_report = now
+            self._state.last_report = now
             if report.session > machine.session:
                 self._new_session(machine, report.session, now)
             seen = {(state.part, state.attempt): state.phase for state in report.tasks}
@@ -50,14 +53,14 @@
                 place = machine.open.get((state.part, state.attempt))
                 if place is not None:
                     self._on_task(machine, place, state, now)
-            self.seen[machine.index] = seen
+            self._state.seen[machine.index] = seen
             self._close_unstarted(machine, seen, after)
             if not machine.open and machine.idle_since <= 0:
                 machine.idle_since = now
             return machine.index
 
     def _note_heard(self, machine: Machine, report: workers.Report, relay: str, now: float) -> None:
-        if report.token >= self.token:
+        if report.token >= self._state.token:
             # Whoever says our token was answered in this term. A late copy, or a machine that we do not
             # reach, never does, and gets no work.
             machine.echoed = True
@@ -72,20 +75,20 @@
             if machine.notice is None:
                 log.info("machine %s: taken by the cloud in %.0f s", machine.name, report.notice_s)
             machine.notice = now + report.notice_s
-            self.noticed[machine.index] = machine
+            self._state.noticed[machine.index] = machine
 
     def _first_report(self, machine: Machine, report: workers.Report, now: float) -> None:
         machine.reported = True
         machine.address = report.address
-        machine.zone = self.zones.index(report.zone)
+        machine.zone = self._state.zones.index(report.zone)
         machine.spot = report.spot
         machine.idle_since = now
-        self._size(machine, report.type)
-        self.room.update(machine)
+        self._state.learn_type(machine, report.type)
+        self._state.room.update(machine)
 
     def _new_session(self, machine: Machine, session: int, now: float) -> None:
         """The worker's lease ran out: it has killed and forgotten all tasks of earlier sessions."""
-        facts = self.settings.facts.workers
+        facts = self._state.settings.facts.workers
         if machine.reported and now - machine.answered < facts.lease_s - ANSWER_S:
             # Its lease ran out although it was answered well within it: it may not hear us.
             machine.lapses += 1
@@ -97,9 +100,9 @@
             log.info("machine %s: session %d, %d tasks lost", machine.name, session, len(lost))
         machine.session = session
         machine.tick = -1
-        self.seen[machine.index] = {}
+        self._state.seen[machine.index] = {}
         for place in lost:
-            self._close(machine, place, now)
+            self._state.close(machine, place, now)
             place.job.requeue(place.task)
 
     def _heeds(self, machine: Machine, seen: dict[Key, str]) -> None:
@@ -127,8 +130,8 @@
     def _deaf(self, machine: Machine, why: str) -> None:
         """A machine that is heard and does not hear: no more work, and another in its place. What it has
         counts as there until its deletion is confirmed."""
-        others = sum(m.reported for m in self.machines.values())
-        doubted = sum(m.unheeded > 0 or m.lapses > 0 for m in self.machines.values())
+        others = sum(m.reported for m in self._state.machines.values())
+        doubted = sum(m.unheeded > 0 or m.lapses > 0 for m in self._state.machines.values())
         if machine.quarantined or doubted > max(3, others // 4):
             return  # so many at a time: the fault is ours, or the network's
         machine.quarantined = machine.lost = True
@@ -138,11 +141,11 @@
         place.started = True
         if state.phase == workers.FETCHING:
             machine.images.setdefault(place.job.image, False)
-            self.room.holds(machine, place.job.image)
+            self._state.room.holds(machine, place.job.image)
         elif state.phase == workers.RUNNING:
             if place.running_since is None:
                 place.running_since = now - self._ran_before(place)
-                self._use_image(machine, place.job, there=True)
+                self._state.use_image(machine, place.job, there=True)
                 if place.job.standing and place.placed_at:
                     self._up(machine, place, now)
             elif place.job.standing and now - RUNS_S > place.running_since > machine.failed_at:
@@ -155,13 +158,13 @@
         """How long a task that is first seen running has run. For one that an owner before us has placed
         nobody knows; half of what it is expected to, where from the takeover on it would seem to have hardly
         begun, and be cheap to stop."""
-        return 0.0 if place.placed_here or place.job.standing else 0.5 * self.expected(place.job)
+        return 0.0 if place.placed_here or place.job.standing else 0.5 * self._state.expected(place.job)
 
     def _up(self, machine: Machine, place: Placement, now: float) -> None:
         """Say how long a replica was away, and of what that was made up."""
         job = place.job
         # An owner before us may have seen it up: what is missing since we are owner is all that we know.
-        since, unknown = job.down.pop(place.task, (max(job.created, self.owner_since), 0.0))
+        since, unknown = job.down.pop(place.task, (max(job.created, self._state.owner_since), 0.0))
         log.info(
             "replica %s up on %s after %.1f s: %.1f unnoticed, %.1f until placed, %.1f start and fetch",
             place.part, machine.name, unknown + now - since, unknown, place.placed_at - since,
@@ -170,7 +173,7 @@
 
     def _ended(self, machine: Machine, place: Placement, state: workers.TaskState, now: float) -> None:
         job = place.job
-        self._close(machine, place, now)
+        self._state.close(machine, place, now)
         if state.why == workers.DONE and job.spec.shape != SERVICE:
             self._done(machine, place, now)
             return
@@ -184,7 +187,7 @@
             # One task down, the gang is down: stop the others, so that all can come together again.
             for other in job.open.values():
                 if not other.halting:
-                    self.halt(other, job.spec.save_s * 1.5)
+                    self._state.halt(other, job.spec.save_grace_s)
         if state.why not in (workers.HALTED, workers.PEERS, workers.ALONE, workers.DONE):
             self._not_run(machine, place, state, now)
 
@@ -192,24 +195,24 @@
         """A task has completed."""
         job = place.job
         job.done.add(place.task)
-        self.on_done(place)
-        self._use_image(machine, job, there=True)
+        self._state.on_done(place)
+        self._state.use_image(machine, job, there=True)
         machine.good += 1
         machine.failed_jobs.clear()
         if place.running_since is not None and place.placed_here:
             # Runs counted from a takeover taught that everything ends within seconds: the backlog seemed to
             # be nothing, so too little was rented and nothing was stopped for urgent work.
-            self.estimates.ended(job.job_class, job.spec.estimate_s, now - place.running_since)
+            self._state.estimates.ended(job.job_class, job.spec.estimate_s, now - place.running_since)
         if job.finished:
             log.info("job %s done after %.1f s", job.spec.id, now - job.created)
-            self._settle_job(job)
+            self._state.settle_job(job)
 
     def _not_run(self, machine: Machine, place: Placement, state: workers.TaskState, now: float) -> None:
         """A task has failed, or its machine has refused it."""
         job = place.job
         if state.why == workers.FULL:
             # The late picture was wrong; wait for a newer report before trying this machine again.
-            self.refusals += 1
+            self._state.refusals += 1
             machine.full_until = now + 1.0
             log.debug("machine %s refused %s: full", machine.name, place.part)
         elif state.why == workers.ERROR:
@@ -256,10 +259,10 @@
             p.running_since is not None and now - p.running_since > RUNS_S and p.machine not in job.failed_on
             for p in job.open.values()
         )
-        if len(job.failed_on) >= self.policy.job_fault_machines and not runs and job.standing:
+        if len(job.failed_on) >= self._state.policy.job_fault_machines and not runs and job.standing:
             job.failed_on.clear()  # its replicas rest, each by itself
             return
-        if len(job.failed_on) >= self.policy.job_fault_machines and not runs:
+        if len(job.failed_on) >= self._state.policy.job_fault_machines and not runs:
             wait = self._hold_back(job, now, 8.0)
             job.failed_on.clear()
             log.error("job %s fails on every machine; next try in %.0f s", job.spec.id, wait)
@@ -283,18 +286,18 @@
         flight, so the answer to an earlier one has been dropped or executed already. A report that was
         merely received after the cancellation may have been held back by a cut and prove nothing.
         """
-        now = self.clock()
+        now = self._state.clock()
         for key, place in list(machine.open.items()):
             absent = key not in seen and place.session == machine.session
             if place.job.cancelled and absent and after >= place.job.cancel_known:
-                self._close(machine, place, now)
+                self._state.close(machine, place, now)
 
     def worker_contact(self, since: float) -> WorkerContact:
         """How many machines have been heard after `since`, directly and through each relay."""
         direct = 0
         relayed: dict[str, int] = {}
-        with self.lock:
-            for machine in self.machines.values():
+        with self._state.lock:
+            for machine in self._state.machines.values():
                 if not machine.reported or machine.heard < since:
                     continue
                 if machine.relay:
@@ -305,10 +308,10 @@
 
     def answered(self, index: int, report: workers.Report, orders: list[workers.Order]) -> None:
         """A report is answered with these. An answer to a late copy reaches nobody and doesn't count."""
-        with self.lock:
-            machine = self.machines.get(index)
+        with self._state.lock:
+            machine = self._state.machines.get(index)
             if machine is not None and (machine.session, machine.tick) == (report.session, report.tick):
-                machine.answered = self.clock()
+                machine.answered = self._state.clock()
                 machine.ordered = [(o.part, o.attempt, o.verb) for o in orders]
 
     def orders_for(self, index: int, arrival: float) -> tuple[list[workers.Order], bool]:
@@ -317,11 +320,11 @@
         The gate: a start goes out only if we were verifiably the owner at some moment after the report
         arrived, and the placement is durable and still open now.
         """
-        with self.lock:
-            machine = self.machines.get(index)
-            if machine is None or not self.owner:
+        with self._state.lock:
+            machine = self._state.machines.get(index)
+            if machine is None or not self._state.owner:
                 return [], False
-            seen = self.seen[index]
+            seen = self._state.seen[index]
             orders: list[workers.Order] = []
             gated = False
             for key, phase in seen.items():
@@ -329,7 +332,7 @@
                 part, attempt = key
                 if phase == workers.ENDED:
                     name, task = workers.split_task(part) or ("", 0)
-                    if place is None and not self.unsettled(name, task):
+                    if place is None and not self._state.unsettled(name, task):
                         orders.append(workers.Reap(part, attempt))
                 elif place is None:
                     orders.append(workers.Halt(part, attempt, 0.0))
@@ -340,11 +343,11 @@
                     continue
                 if place.job.cancelled:
                     continue
-                if self.verified_at <= arrival:
+                if self._state.verified_at <= arrival:
                     gated = True
                     continue
                 orders.append(workers.Start(place.part, place.attempt))
-                self.starts += 1
+                self._state.starts += 1
             return orders, gated
 
     def halts_for(
@@ -355,9 +358,9 @@
 
         Only halts go that way: a copy that comes late stops an attempt that was to stop anyway.
         """
-        with self.lock:
-            machine = self.machines.get(index)
-            if machine is None or not self.owner or not machine.address:
+        with self._state.lock:
+            machine = self._state.machines.get(index)
+            if machine is None or not self._state.owner or not machine.address:
                 return None
             places = [p for p in machine.open.values() if p.job.cancelled or not cancelled_alone]
             halts: list[workers.Order] = [
@@ -375,12 +378,12 @@
         A worker's lease counts from the sending of its report, and it drops answers after 4 s, so a short
         wait costs nothing but the news of tasks that end meanwhile.
         """
-        with self.lock:
-            machine = self.machines.get(index)
+        with self._state.lock:
+            machine = self._state.machines.get(index)
             if machine is None or not machine.usable:
                 return 0.0
             if not machine.open:
-                return min(self.policy.hold_idle_s, self.settings.facts.workers.report_s * 0.75)
+                return min(self._state.policy.hold_idle_s, self._state.settings.facts.workers.report_s * 0.75)
             if machine.free_cpus > EPS or any(not p.durable for p in machine.open.values()):
-                return self.policy.hold_s
+                return self._state.policy.hold_s
             return 0.0
--- a/bayford/recovery/fates.py
+++ b/bayford/recovery/fates.py
@@ -21,35 +21,37 @@
     cancelled: set[TaskKey] = field(default_factory=set)
     over: set[TaskKey] = field(default_factory=set)  # ended between two owners, nobody saw where
 
+    def _settle(self, key: TaskKey) -> bool:
+        """The task is not open any more; whether it was."""
+        was_open = key in self.open
+        self.open.discard(key)
+        return was_open
+
     def note_done(self, key: TaskKey) -> bool:
         """An attempt of the task that was there has ended well; whether that is news."""
-        if key not in self.open:
+        if not self._settle(key):
             return False
-        self.open.discard(key)
         self.finished.add(key)
         return True
 
     def note_placed(self, key: TaskKey, machine: str) -> bool:
         """The task has been placed once more; whether that is news."""
-        if key not in self.open:
+        if not self._settle(key):
             return False
-        self.open.discard(key)
         self.again[key] = machine
         return True
 
     def note_cancelled(self, key: TaskKey) -> bool:
         """The task's job is cancelled and nothing of it is left there; whether that is news."""
-        if key not in self.open:
+        if not self._settle(key):
             return False
-        self.open.discard(key)
         self.cancelled.add(key)
         return True
 
     def note_over(self, key: TaskKey) -> bool:
         """The task was over when the next owner began; whether that is news."""
-        if key not in self.open:
+        if not self._settle(key):
             return False
-        self.open.discard(key)
         self.over.add(key)
         return True
 
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -16,6 +16,7 @@
 SERVICE_RUN_S = 600.0  # how long a replica is expected to go on, where a guess is needed: it has no end
 URGENT = PRIORITIES.index("urgent")
 EPS = 1e-6
+SAVE_MARGIN = 1.5  # of the time that a task says it needs to save
 
 
 class Names:
@@ -70,6 +71,11 @@
     deadline_s: float | None
     shape: str = ARRAY
 
+    @property
+    def save_grace_s(self) -> float:
+        """How long a task that is stopped is given to save."""
+        return self.save_s * SAVE_MARGIN
+
 
 class MachineType(msgspec.Struct, frozen=True):
     """One row of the cloud's catalog."""
@@ -109,7 +115,7 @@
     halting: bool = False
     halt_grace: float = 0.0
     halt_sent: bool = False  # by a direct command
-    on_turn: bool = False  # it runs because its job had waited long: nobody pushes it out
+    unpreemptable: bool = False  # it runs because its job had waited long: nobody pushes it out
 
     @property
     def key(self) -> tuple[str, int]:
--- a/bayford/scheduling/placement.py
+++ b/bayford/scheduling/placement.py
@@ -77,7 +77,7 @@
     return None
 
 
-def shelter(
+def replica_rank(
     job: Job, machine: Machine, zones: dict[int, int], fetch_s: float, spread_s: float
 ) -> tuple[float, ...]:
     """Smaller is better, for one replica of a service, which has to be up soon and to outlive a loss.
--- a/bayford/scheduling/room_index.py
+++ b/bayford/scheduling/room_index.py
@@ -44,9 +44,6 @@
     def __len__(self) -> int:
         return len(self.machines)
 
-    def __contains__(self, index: int) -> bool:
-        return index in self.machines
-
     def update(self, machine: Machine) -> None:
         """The machine's booked room, or what is known of the machine, has changed."""
         old = self._keys.get(machine.index)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,11 +6,13 @@
 from dataclasses import replace
 
 import msgspec
+import orjson
 import pytest
 import z3
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bayford import cli
 from bayford.admission import choice, features, report
 from bayford.admission.allotment import Allotment, Floors
 from bayford.admission.choice import decide, levels_until, most_levels, position
@@ -27,12 +29,17 @@
     window_width,
 )
 from bayford.admission.load import AcceptanceCapacity, Rates
+from bayford.config import split_address
 from bayford.coordination.acceptance_pace import AcceptancePace
 from bayford.coordination.admission_control import sample_of, told_of
 from bayford.protocol.jobs import priority_of
+from bayford.protocol.state_api import StateApi
 from bayford.storage import records
-from bayford.storage.store import Row
+from bayford.storage.store import Put, Row
+from bayford.transport.client import Client
 from bayford.transport.limit import Limit
+from standins.state_service import StateService
+from tests.test_config import GOOD
 
 KEY = "07" * 32
 SWEEP, BUILD = Flow(1, "sweep", "red"), Flow(2, "build", "red")
@@ -300,6 +307,25 @@
     ]
 
 
+def test_the_command_shows_the_level_and_says_when_it_cannot(tmp_path, capsys):
+    service = StateService()
+    path = tmp_path / "settings.toml"
+    path.write_text(GOOD.replace("127.0.0.1:5", service.address))
+    store = StateApi(Client(*split_address(service.address)).call)
+    shown = ["admission", "--config", str(path)]
+    assert cli.main(shown) == 0 and "no level" in capsys.readouterr().out
+    store.commit({}, [Put(records.ADMISSION, encode(HALF, 4096)), Put(records.MEMBERS + "n1", "i1")])
+    assert cli.main(shown) == 0
+    out = capsys.readouterr().out
+    assert "refusing for submissions" in out and "not in force: n1 keep to no level" in out
+    assert cli.main([*shown, "--json"]) == 0
+    assert orjson.loads(capsys.readouterr().out)["lacking"] == ["n1"]
+    store.commit({}, [Put(records.ADMISSION, {"v": 7})])
+    assert cli.main(shown) == 1 and "everything is admitted" in capsys.readouterr().err
+    service.close()
+    assert cli.main(shown) == 1 and "is out" in capsys.readouterr().err
+
+
 def test_what_operators_are_shown():
     assert "no level" in report.as_text(None, [])
     text = report.as_text(HALF, ["n1"])
--- a/tests/test_admission_cluster.py
+++ b/tests/test_admission_cluster.py
@@ -11,7 +11,6 @@
 
 from bayford.admission.choice import decide
 from bayford.admission.level import POSITIONS, Flow, Level, Window, encode
-from bayford.coordination import work_facts
 from bayford.protocol import jobs
 from bayford.scheduling.policy import Policy
 from bayford.storage import records
@@ -280,12 +279,12 @@
     engine = w.nodes[owner].engine
     w.submit(owner, w.job(1, parts=50, guess_s=100.0, crew="open"))
     w.step()
-    assert work_facts.gather(engine).backlog_s == {}, "the fleet may still grow"
+    assert engine.work_facts().backlog_s == {}, "the fleet may still grow"
     w.capacity = 0
     for _ in range(4):
         w.fleet(owner)
         w.step()
-    facts = work_facts.gather(engine)
+    facts = engine.work_facts()
     assert facts.backlog_s[1] == pytest.approx(50 * 100.0 / 8.0, rel=0.2)
     assert facts.over_guarantee == {"open"}, "50 CPUs of open work, none guaranteed"
     w.machine(spot=False)
@@ -293,7 +292,7 @@
     w.capacity = 10
     w.pass_time(30.0)
     w.fleet(owner)
-    assert work_facts.gather(engine).backlog_s == {}, "machines are asked for again"
+    assert engine.work_facts().backlog_s == {}, "machines are asked for again"
 
 
 def test_a_new_owner_in_a_flood_goes_on_with_the_level():
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -65,10 +65,20 @@
         ('spread_restarts = ["sweep"]', "spread_restarts"),
         ('spread_lossy = ["seep"]', "spread_lossy: 'seep'"),
         ("spread_lossy = [1]", "spread_lossy"),
+        ("admission = 1", "admission"),
+        ("admission_accept_share = 1.1", "admission_accept_share"),
+        ("admission_floor = 0.0", "admission_floor"),
+        ("admission_interval_s = 0.0", "admission_interval_s"),
+        ("admission_turn_s = -1.0", "admission_turn_s"),
+        ("admission_leave = 1.5", "admission_leave"),
+        ('admission_floors = {"sweep": 1.5}', "admission_floors['sweep']"),
+        ('admission_floors = {"seep": 0.1}', "admission_floors: 'seep'"),
+        ('admission_floors = {"sweep": 0.1, "sweep": 0.2}', "p.star:1"),
+        ('extra_classes = ["a"]\nadmission_floors = {"sweep": 0.6, "a": 0.6}', "admission_floors"),
     ],
 )
 @pytest.mark.parametrize("verb", ["check-config", "serve"])
-def test_a_wrong_setting_of_load_spread_is_named(verb, line, field, tmp_path, capsys):
+def test_a_wrong_setting_is_named(verb, line, field, tmp_path, capsys):
     settings, script = tmp_path / "settings.toml", tmp_path / "p.star"
     settings.write_text(GOOD + AIM)
     script.write_text(line + "\n")
@@ -83,7 +93,7 @@
     shipped = Path(__file__).parent.parent / "deploy" / script
     assert cli.main(["check-config", "--config", str(settings), "--script", str(shipped)]) == 0
     policy = load(str(shipped), config.parse(GOOD + AIM))
-    assert policy.spread == (script == "all-parts.star")
+    assert policy.spread == policy.admission == (script == "all-parts.star")
     assert policy.spread_restarts == ({"sweep": 2} if policy.spread else {})
 
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -139,14 +139,14 @@
     w.state.refuses.add(name)
     assert w.cancel(other, "req-000001") == "aborted"
     w.nodes[other].notices.send()
-    assert owner.engine.jobs["req-000001"].cancelled
+    assert owner.engine.state.jobs["req-000001"].cancelled
     assert not owner.unrivalled()
     w.state.down = True
     wait(w, 8.0, fleet=False)  # by then no other says any more that it is served
     assert owner.unrivalled()
-    owner._peers_served[other] = w.clock.now
+    owner.peers.served_at[other] = w.clock.now
     assert not owner.unrivalled(), "another is served"
-    owner._peers_served.clear()
+    owner.peers.served_at.clear()
     owner.membership.heard(owner.membership.view.token + 1)
     assert not owner.unrivalled(), "somebody has seen a higher token"
 
@@ -192,7 +192,7 @@
     assert w.cancel(other, "req-000001") == "aborted"
     assert not w.nodes[other].notices.send()
     w.mesh_cut.clear()
-    assert w.nodes[other].notices.send() and owner.engine.jobs["req-000001"].cancelled
+    assert w.nodes[other].notices.send() and owner.engine.state.jobs["req-000001"].cancelled
     w.mesh_cut.add(name)
     w.submit(other, w.job(2))
     assert w.cancel(other, "req-000002") == "aborted"
@@ -210,10 +210,10 @@
     for body in (b"{", b"[]", b'{"req-000001":"now"}', b'{"req-000001":null}'):
         assert ours.handle(Request("POST", mesh.CANCELLED_PATH, body, 0.0)).status == 400
     assert ours.handle(Request("GET", mesh.CANCELLED_PATH, b"", 0.0)).status == 404
-    assert not owner.engine.jobs["req-000001"].cancelled
+    assert not owner.engine.state.jobs["req-000001"].cancelled
     body = mesh.encode_cancelled({"req-000001": w.clock.wall(), "req-000099": w.clock.wall()})
     assert ours.handle(Request("POST", mesh.CANCELLED_PATH, body, 0.0)).status == 200
-    assert owner.engine.jobs["req-000001"].cancelled
+    assert owner.engine.state.jobs["req-000001"].cancelled
 
 
 def test_a_job_called_off_before_the_owner_has_read_of_it_never_starts():
@@ -225,7 +225,7 @@
     assert w.nodes[other].notices.send()
     w.state.blind.clear()
     wait(w, 5.0, fleet=False)
-    assert not running(w) and "req-000001" not in owner.engine.jobs
+    assert not running(w) and "req-000001" not in owner.engine.state.jobs
 
 
 def test_a_start_goes_out_only_after_a_read_that_shows_what_others_have_cancelled():
@@ -235,7 +235,7 @@
     name, owner, other = owned(w)
     decided(w, name)
     owner.commit_once()
-    assert owner.engine.jobs["req-000001"].open
+    assert owner.engine.state.jobs["req-000001"].open
     assert w.cancel(other, "req-000001") == "aborted"
     w.report(next(iter(w.workers.values())), name)
     assert not running(w)
@@ -308,7 +308,7 @@
             w.cancel(f"n{number % 3}", f"req-{number:06d}")
         for part in running(w)[:2]:
             w.finish(part)
-    waiting = sum(len(job.waiting) for job in owned(w)[1].engine.jobs.values())
+    waiting = sum(len(job.waiting) for job in owned(w)[1].engine.state.jobs.values())
     assert waiting > 4 and len(running(w)) >= 8, "more work than room"
     w.submit("n1", w.job(20, parts=1, rank="critical"))
     for _ in range(40):
@@ -382,11 +382,11 @@
         for report in idle:
             w.replay(report, name)
     new, owner, _ = owned(w)
-    assert len(owner.engine.jobs["req-000001"].open) == 4, "the records' placements stand"
+    assert len(owner.engine.state.jobs["req-000001"].open) == 4, "the records' placements stand"
     w.submit(new, w.job(2, crew="blue", parts=8))
     for _ in range(3):
         w.step_node(new)
-    assert not owner.engine.jobs["req-000002"].open, "who has not said our token gets no work"
+    assert not owner.engine.state.jobs["req-000002"].open, "who has not said our token gets no work"
     for _ in range(6):
         wait(w, 0.5, fleet=False)
         for report in idle:
@@ -935,8 +935,8 @@
     second = threading.Thread(target=owner.mirror.pull, args=(0.0,))
     second.start()
     second.join(0.3)  # unmended it is through by then; mended it never is
-    assert owner.mirror.as_of == before and not owner.engine.jobs["req-000001"].cancelled
+    assert owner.mirror.as_of == before and not owner.engine.state.jobs["req-000001"].cancelled
     go_on.set()
     for thread in (first, second):
         thread.join()
-    assert owner.mirror.as_of > before and owner.engine.jobs["req-000001"].cancelled
+    assert owner.mirror.as_of > before and owner.engine.state.jobs["req-000001"].cancelled
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -135,7 +135,8 @@
         cluster.submit("n0", cluster.job(number, lane=lane, rank=rank, parts=1))
     cluster.nodes["n0"].mirror.pull(0.0)
     jobs = sorted(
-        cluster.nodes["n0"].engine.jobs.values(), key=lambda job: return_order.rank(job, RECOVER.return_order)
+        cluster.nodes["n0"].engine.state.jobs.values(),
+        key=lambda job: return_order.rank(job, RECOVER.return_order),
     )
     assert [job.spec.job_class for job in jobs] == ["hot", "sweep", "extra", "trickle"]
     cold = Machine(1, "vm", images={99: False})
@@ -267,7 +268,7 @@
 
 def zone_state(cluster: World, zone: str = "south") -> str:
     owner = cluster.nodes[cluster.owner()].engine
-    return owner.zone_watch.statuses[owner.zones.find(zone)].state.value
+    return owner.zone_watch.statuses[owner.state.zones.find(zone)].state.value
 
 
 def stored(cluster: World, zone: str = "south") -> record.ZoneRecord:
@@ -297,7 +298,9 @@
     wait(cluster, 14.0)
     assert zone_state(cluster) == "lost"
     assert stored(cluster).losses[-1].totals()["open"] == len(there)
-    assert cluster.nodes[cluster.owner()].engine.jobs["req-000002"].waiting == [0], "nothing is placed there"
+    assert cluster.nodes[cluster.owner()].engine.state.jobs["req-000002"].waiting == [0], (
+        "nothing is placed there"
+    )
     heal(cluster)
     wait(cluster, 50.0)
     assert zone_state(cluster) == "up"
@@ -316,20 +319,20 @@
     wait(cluster, 14.0)
     engine = cluster.nodes[cluster.owner()].engine
     assert zone_state(cluster) == "lost"
-    assert engine.jobs["req-000002"].open == {}, (
+    assert engine.state.jobs["req-000002"].open == {}, (
         "there is room on machines that nobody has heard of for a while"
     )
-    south = [m for m in engine.machines.values() if engine.zones[m.zone] == "south"]
+    south = [m for m in engine.state.machines.values() if engine.state.zones[m.zone] == "south"]
     for machine in south:
         machine.images[77] = True
-        engine.room.holds(machine, 77)
+        engine.state.room.holds(machine, 77)
     heal(cluster)
     while zone_state(cluster) == "lost":
         wait(cluster, 0.5)
     assert not any(77 in machine.images for machine in south), "it may be cold"
-    assert zone_state(cluster) == "returning" and not engine.verified_machines
+    assert zone_state(cluster) == "returning" and not engine.state.verified_machines
     engine.round()
-    assert engine.jobs["req-000002"].open == {}, "one report may have been held back by the cut"
+    assert engine.state.jobs["req-000002"].open == {}, "one report may have been held back by the cut"
     wait(cluster, 6.0)
     assert len(in_zone(cluster)) == 2
 
@@ -337,21 +340,23 @@
 def test_only_a_few_machines_are_rented_into_a_zone_of_which_nothing_answers():
     cluster = two_zones()
     engine = cluster.nodes[cluster.owner()].engine
-    engine.returning_zones = frozenset({engine.zones.find("south")})
-    gone = [m for m in engine.machines.values() if m.zone not in engine.returning_zones]
+    engine.state.returning_zones = frozenset({engine.state.zones.find("south")})
+    gone = [m for m in engine.state.machines.values() if m.zone not in engine.state.returning_zones]
     present = [(fleet.Option(m.type, m.zone, m.spot), m) for m in gone]
-    south, north = (fleet.Option(0, engine.zones.find(name), True) for name in ("south", "north"))
+    south, north = (fleet.Option(0, engine.state.zones.find(name), True) for name in ("south", "north"))
     wanted = [fleet.Rental(south, 20, "backlog"), fleet.Rental(north, 20, "backlog")]
-    assert [r.count for r in engine._paced(wanted, present)] == [RECOVER.recovery_least, 20]
-    engine.renting[south] = 2
-    assert [r.count for r in engine._paced(wanted, present)] == [1, 20]
-    engine.verified_machines = frozenset({next(m.index for m in engine.machines.values() if m not in gone)})
-    present += [(south, engine.machines[index]) for index in engine.verified_machines]
-    assert [r.count for r in engine._paced(wanted, present)] == [20, 20]
-
-    engine.verified_machines = frozenset()
-    engine.renting.clear()
-    engine.deleted([m.name for m in engine.machines.values() if m.zone == south.zone])
+    assert [r.count for r in engine.autoscaler._paced(wanted, present)] == [RECOVER.recovery_least, 20]
+    engine.state.renting[south] = 2
+    assert [r.count for r in engine.autoscaler._paced(wanted, present)] == [1, 20]
+    engine.state.verified_machines = frozenset(
+        {next(m.index for m in engine.state.machines.values() if m not in gone)}
+    )
+    present += [(south, engine.state.machines[index]) for index in engine.state.verified_machines]
+    assert [r.count for r in engine.autoscaler._paced(wanted, present)] == [20, 20]
+
+    engine.state.verified_machines = frozenset()
+    engine.state.renting.clear()
+    engine.deleted([m.name for m in engine.state.machines.values() if m.zone == south.zone])
     cluster.submit("n0", cluster.job(1, crew="open", parts=80, guess_s=900.0, yard="south"))
     cluster.nodes[cluster.owner()].mirror.pull(0.0)
     step = engine.fleet_step(cluster.clock.now)
@@ -400,7 +405,7 @@
         assert worker.name in cluster.deleted, (
             "its machine is gone by then, and what it says counts for nothing"
         )
-    job = owner.jobs["req-000001"]
+    job = owner.state.jobs["req-000001"]
     task = int(part.split("/")[1])
     assert task not in job.open or task not in job.done
     assert len(set(running(cluster))) == len(running(cluster))
@@ -486,7 +491,7 @@
     for name in others:
         if cluster.nodes[name].engine.owner:
             watch = cluster.nodes[name].engine.zone_watch
-            lost = cluster.nodes[name].engine.zones.find(zone)
+            lost = cluster.nodes[name].engine.state.zones.find(zone)
             assert watch.statuses[lost].state is not ZoneState.UP
             assert sum(watch.losses[lost][0].record().totals().values()) == 16
             break
@@ -526,9 +531,9 @@
     cut_zone(cluster)
     wait(cluster, 40.0)
     assert ghost.name in cluster.deleted
-    before = cluster.nodes[cluster.owner()].engine.machines.keys()
+    before = cluster.nodes[cluster.owner()].engine.state.machines.keys()
     cluster.replay(late, cluster.owner())
-    assert ghost.name not in {cluster.nodes[cluster.owner()].engine.machines_by[i] for i in before}
+    assert ghost.name not in {cluster.nodes[cluster.owner()].engine.state.machines_by[i] for i in before}
 
 
 def test_services_bound_to_the_zone_and_gangs_with_a_part_inside():
@@ -566,7 +571,7 @@
         cluster.machine(zone="south")
     wait(cluster, 16.0)
     assert {part[:10] for part in in_zone(cluster)} == {"req-000004", "req-000003"}, "hot, then sweep"
-    jobs = cluster.nodes[cluster.owner()].engine.jobs
+    jobs = cluster.nodes[cluster.owner()].engine.state.jobs
     hot, sweep = (
         [place.attempt for place in jobs[name].open.values()] for name in ("req-000004", "req-000003")
     )
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -71,7 +71,7 @@
     assert running_count(cluster) == tasks, "every machine is used to the full"
     first = cluster.owner()
     assert first is not None
-    assert len(cluster.nodes[first].engine.machines) == MACHINES
+    assert len(cluster.nodes[first].engine.state.machines) == MACHINES
 
     before = {worker.name: sorted(worker.running()) for worker in cluster.workers.values()}
     del cluster.nodes[first]
@@ -169,7 +169,7 @@
             calls.rent(order)
             cloud.now += 0.05
     assert cloud.busy == 0
-    assert len([name for name in cloud.names if engine.machines_by.find(name) is not None]) == MACHINES
+    assert len([name for name in cloud.names if engine.state.machines_by.find(name) is not None]) == MACHINES
     assert lists >= 4, "each machine's fate is seen within a quarter of a minute"
     kinds = collections.Counter(kind for _, kind in cloud.calls)
     assert kinds["list"] <= 1.1 * LIST_SHARE * OWNER_SHARE * cloud.rps * cloud.now
@@ -181,10 +181,10 @@
     engine, calls = owner_with_cloud(cloud, World().settings("n0"))
     orders = [RentalOrder("small", "north", True, 50, "backlog")] * 400
     for order in orders:
-        engine._asked_for(engine._option(order), order.count)
+        engine.autoscaler._asked_for(engine.autoscaler._option(order), order.count)
     calls.carry_out(FleetStep(orders, [Deletion("vm-000001", "idle")]))
     assert calls.delete(["vm-000001"])
-    waiting = sum(engine.renting.values())
+    waiting = sum(engine.state.renting.values())
     assert MACHINES <= waiting < 400 * 50, "what the queue did not take is decided anew"
 
 
@@ -246,7 +246,7 @@
     cluster.submit("n0", cluster.job(1, crew="open", parts=machines * CPUS, guess_s=900.0, mem_gb=1.0))
     node.mirror.pull(0.0)
     engine.round()
-    assert len(engine.jobs["req-000001"].open) == machines * CPUS
+    assert len(engine.state.jobs["req-000001"].open) == machines * CPUS
     cluster.submit(
         "n0", cluster.job(2, crew="open", rank="urgent", parts=machines, cpus=4.0, mem_gb=1.0)
     )  # fmt: skip
@@ -254,13 +254,13 @@
     stops = []
     for _ in range(4):
         cluster.pass_time(1.0)
-        before = len(engine.halting)
+        before = len(engine.state.halting)
         engine.round()
-        stops.append(len(engine.halting) - before)
+        stops.append(len(engine.state.halting) - before)
     share = int(engine.policy.preempt_share * machines * CPUS)
     assert share > engine.policy.preempt_per_round
     assert all(share <= stopped < share + CPUS for stopped in stops)
-    stopped_on = {place.machine for place in engine.halting}
+    stopped_on = {place.machine for place in engine.state.halting}
     parts = {index * 3 // machines for index in stopped_on}
     assert parts == {0, 1, 2}, "no part of the fleet is spared"
 
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -191,7 +191,7 @@
     w.submit("n0", w.daemon(1, crew="red", parts=4, cpus=2.0))
     steps(w, 4)
     before = where(w)
-    assert w.nodes["n0"].engine.shares[0].beyond
+    assert w.nodes["n0"].engine.state.shares[0].beyond
     w.submit("n0", w.daemon(2, crew="blue", parts=3, cpus=2.0))
     steps(w, 30)
     assert where(w) == before
@@ -241,7 +241,7 @@
     for _ in range(100):
         w.step()  # checks `cancel_s`
         w.fleet("n0")
-    assert running(w) == [] and not w.nodes["n0"].engine.jobs
+    assert running(w) == [] and not w.nodes["n0"].engine.state.jobs
 
 
 def test_a_takeover_keeps_what_runs_and_starts_what_is_missing():
@@ -271,10 +271,10 @@
         w.step(2.0)
         rows.append(sum(key.startswith(records.LOG) for key in w.state.rows))
     assert max(rows[300:]) <= max(rows[:300]) <= 60
-    job = engine.jobs["req-000001"]
+    job = engine.state.jobs["req-000001"]
     progress = w.nodes["n0"].mirror.with_ledger(lambda ledger: ledger.jobs["req-000001"])
     assert len(job.failed_on) <= 8 and len(job.ends) <= 2 and len(progress.told) <= 2
-    assert len(engine.standing_jobs) <= 1
+    assert len(engine.state.standing_jobs) <= 1
     for worker in w.workers.values():
         worker.fails = False
     steps(w, 80)
@@ -287,7 +287,7 @@
 def test_room_is_rented_for_services_before_they_come_and_kept_while_they_stand():
     w = ordinary(0)
     engine = w.nodes["n0"].engine
-    engine.standing_classes = {"desk"}  # as the aims of a site with services name them
+    engine.state.standing_classes = {"desk"}  # as the aims of a site with services name them
     w.fleet("n0")
     assert {(x.kind.name, x.spot) for x in w.workers.values()} == {("small", False)}
     floor = len(w.workers)
@@ -308,7 +308,7 @@
         w.fleet("n0")
     assert sum(not x.spot for x in w.workers.values()) >= floor, "empty machines of the reserve stay"
     w.cancel("n0", "req-000002")
-    engine.standing_classes = set()
+    engine.state.standing_classes = set()
     for _ in range(200):
         w.step(1.0)
         w.fleet("n0")
@@ -353,11 +353,11 @@
     node = w.nodes["n0"]
     w.submit("n0", w.daemon(1))
     node.mirror.pull(0.0)
-    job = node.engine.jobs["req-000001"]
+    job = node.engine.state.jobs["req-000001"]
     has = Machine(0, "has", images={job.image: True}, free_cpus=4.0)
     busy = Machine(1, "busy", images={99: False}, free_cpus=4.0)
     free = Machine(2, "free", free_cpus=4.0)
-    order = sorted([free, busy, has], key=lambda m: placement.shelter(job, m, {}, 4.0, 6.0))
+    order = sorted([free, busy, has], key=lambda m: placement.replica_rank(job, m, {}, 4.0, 6.0))
     assert [m.name for m in order] == ["has", "free", "busy"]
     has.heard = 100.0
     assert placement.steady(has, 101.0, 5.0) and not placement.steady(has, 106.0, 5.0), "not if silent"
@@ -388,7 +388,7 @@
     w.submit("n0", w.daemon(6, crew="blue", parts=1, cpus=4.0, builds=["small"]))
     steps(w, 30)
     assert list(where(w)) != [here] and list(where(w, "req-000006")) == [here]
-    assert w.nodes["n0"].engine.moves == 1
+    assert w.nodes["n0"].engine.state.moves == 1
 
 
 def test_the_readme_s_daemon_can_be_submitted_looked_at_and_called_off():
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -254,7 +254,7 @@
     assert sorted(len(w.running()) for w in cluster.workers.values()) == [0, 0, 0, tasks]
     cluster.policy = SPREAD
     for node in cluster.nodes.values():
-        node.engine.policy = SPREAD
+        node.engine.state.policy = SPREAD
     return cluster
 
 
@@ -292,7 +292,7 @@
 
 def test_a_class_that_allows_the_loss_is_moved():
     cluster = uneven(bookmark_s=0.0, guess_s=9000.0)
-    cluster.nodes["n0"].engine.policy = dataclasses.replace(SPREAD, spread_lossy=("sweep",))
+    cluster.nodes["n0"].engine.state.policy = dataclasses.replace(SPREAD, spread_lossy=("sweep",))
     wait(cluster, 60.0, fleet=False)
     assert loads(cluster)[-1] <= 2
 
@@ -314,13 +314,13 @@
             wait(cluster, 8.0, fleet=False)
             # What runs elsewhere is lost and comes together on one machine again: always work to move.
             engine = cluster.nodes[cluster.owner() or "n0"].engine
-            engine.policy = PACKED
+            engine.state.policy = PACKED
             first, *others = sorted(cluster.workers.values(), key=lambda worker: -len(worker.running()))
             for worker in others:
                 worker.tasks.clear()
                 worker.session += 1
             wait(cluster, 4.0, fleet=False)
-            engine.policy = SPREAD
+            engine.state.policy = SPREAD
     moved = [r.getMessage().split()[1] for r in caplog.records if r.getMessage().startswith("moving ")]
     assert moved and len(set(moved)) == len(moved), "each task once, whoever the owner is"
 
@@ -333,8 +333,8 @@
         for worker in cluster.workers.values():
             cluster.report(worker, "n0")
         engine.round()
-        if engine.uncounted:
-            return engine.uncounted["req-000001"][0].place
+        if engine.state.uncounted:
+            return engine.state.uncounted["req-000001"][0].place
     pytest.fail("nothing is moved")
 
 
@@ -346,10 +346,10 @@
     cluster = uneven()
     place = moving(cluster)
     node = cluster.nodes["n0"]
-    target = node.engine.uncounted["req-000001"][0].target
+    target = node.engine.state.uncounted["req-000001"][0].target
     if counted:
         node.commit_once()
-        assert place.halting and node.engine.moves >= 1
+        assert place.halting and node.engine.state.moves >= 1
     if trouble == "done":
         cluster.finish(place.part)
         for worker in cluster.workers.values():
@@ -357,18 +357,18 @@
     elif trouble == "cancelled":
         assert cluster.cancel("n0", "req-000001") == "aborted"
     elif trouble == "target":
-        cluster.execute_delete([node.engine.machines_by[target]])
-        node.engine.deleted([node.engine.machines_by[target]])
+        cluster.execute_delete([node.engine.state.machines_by[target]])
+        node.engine.deleted([node.engine.state.machines_by[target]])
     else:
         cluster.boot("n0")
     if trouble != "owner" and not counted:
-        before = node.engine.moves, set(node.engine.halting)
+        before = node.engine.state.moves, set(node.engine.state.halting)
         node.mirror.pull(0.0)
         node.commit_once()
-        assert (node.engine.moves, set(node.engine.halting) - {place}) == (0, before[1] - {place})
+        assert (node.engine.state.moves, set(node.engine.state.halting) - {place}) == (0, before[1] - {place})
         assert place.halt_grace == 0.0
     wait(cluster, 60.0)
-    assert not cluster.nodes["n0"].engine.halting
+    assert not cluster.nodes["n0"].engine.state.halting
     if trouble == "cancelled":
         assert running(cluster) == []
         return
@@ -386,26 +386,26 @@
     cluster = uneven()
     cluster.submit("n0", cluster.job(2, crew="open", parts=1, yard="south"))
     wait(cluster, 40.0, fleet=False)
-    assert cluster.nodes["n0"].engine.moves == 0
-    assert cluster.nodes["n0"].engine.jobs["req-000002"].waiting == [0]
+    assert cluster.nodes["n0"].engine.state.moves == 0
+    assert cluster.nodes["n0"].engine.state.jobs["req-000002"].waiting == [0]
 
 
 def test_room_that_is_meant_for_moved_work_is_kept_and_for_one_job_alone():
     """Of two jobs whose room was each other's, the second found its own taken and came back."""
     cluster = uneven(tasks=2)
     engine = cluster.nodes["n0"].engine
-    engine.policy = PACKED
+    engine.state.policy = PACKED
     cluster.submit("n0", cluster.job(2, crew="open", bookmark_s=5.0, stash_s=1.0, guess_s=900.0))
     wait(cluster, 4.0, fleet=False)
-    engine.policy = SPREAD
-    source = max(engine.machines.values(), key=lambda machine: len(machine.open))
-    target = next(machine for machine in engine.machines.values() if not machine.open)
+    engine.state.policy = SPREAD
+    source = max(engine.state.machines.values(), key=lambda machine: len(machine.open))
+    target = next(machine for machine in engine.state.machines.values() if not machine.open)
     keys = [next(k for k, p in source.open.items() if p.job.spec.id == f"req-00000{n}") for n in (1, 2)]
     moves = tuple(Relocation(key, source.index, target.index) for key in keys)
     known = {m.index: picture(m, cluster.clock.now) for m in (source, target)}
-    engine.spreader._carry_out(Rebalancing(moves, 1.0, 0.5), known, cluster.clock.now)
-    assert list(engine.uncounted) == ["req-000001"]
-    first, second = engine.jobs["req-000001"], engine.jobs["req-000002"]
+    engine.scheduling.spreader._carry_out(Rebalancing(moves, 1.0, 0.5), known, cluster.clock.now)
+    assert list(engine.state.uncounted) == ["req-000001"]
+    first, second = engine.state.jobs["req-000001"], engine.state.jobs["req-000002"]
     assert placement.eligible(first, target, {}, cluster.clock.now)
     assert not placement.eligible(second, target, {}, cluster.clock.now)
 
@@ -450,10 +450,10 @@
     engine = cluster.nodes["n0"].engine
     cluster.submit("n0", cluster.job(1, crew="open", parts=1))
     cluster.nodes["n0"].mirror.pull(0.0)
-    job = engine.jobs["req-000001"]
-    holder, target = sorted(engine.machines)[:2]
-    engine.machines[holder].images[job.image] = True
-    engine.room.holds(engine.machines[holder], job.image)
+    job = engine.state.jobs["req-000001"]
+    holder, target = sorted(engine.state.machines)[:2]
+    engine.state.machines[holder].images[job.image] = True
+    engine.state.room.holds(engine.state.machines[holder], job.image)
     job.hints[0] = target
     engine.round()
     assert job.open[0].machine == target
@@ -468,7 +468,7 @@
         for worker in cluster.workers.values():
             cluster.report(worker, "n0")
         cluster.step_node("n0")
-    assert cluster.nodes["n0"].engine.moves == 0
+    assert cluster.nodes["n0"].engine.state.moves == 0
 
 
 def test_a_machine_whose_type_the_catalog_lacks_takes_no_part_and_is_named_once(caplog):
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -7,7 +7,7 @@
 from bayford.clock import NEVER
 from bayford.coordination.autoscaler import RentalOrder
 from bayford.coordination.controller import Controller
-from bayford.coordination.engine import Engine
+from bayford.coordination.owner_state import OwnerState
 from bayford.protocol.cloud_api import NoCapacityError
 from bayford.storage import records
 from bayford.storage.counted import CountedStore
@@ -92,11 +92,11 @@
     assert w.nodes["n0"].submit(w.job(1, cpus=3.0, shape="gang", parts=3))[0] == 422, "8 at most"
     assert w.nodes["n0"].submit(w.job(1, cards=1.0, shape="gang", parts=3, crew="blue"))[0] == 422
     assert w.nodes["n0"].submit(w.job(1, yard="south", cards=1.0, crew="blue"))[0] == 422
-    w.nodes["n0"].engine.types = []
+    w.nodes["n0"].engine.state.types = []
     assert w.nodes["n0"].submit(w.job(2))[0] == 503, "machine types unknown: can't decide"
     w.nodes["n0"].engine.set_types(w.catalog())
     assert w.submit("n0", w.job(3)) == 201
-    w.nodes["n0"].engine.types = []
+    w.nodes["n0"].engine.state.types = []
     assert w.submit("n0", w.job(3)) == 200, "a known job is never refused again"
 
 
@@ -232,7 +232,7 @@
         w.step()
     assert running(w) == []
     assert w.query(other, "req-000001") == "aborted"
-    assert w.nodes[other].engine.shares[0].used_cpus == 0
+    assert w.nodes[other].engine.state.shares[0].used_cpus == 0
 
 
 def test_a_cancel_racing_the_last_task_has_one_outcome():
@@ -295,10 +295,10 @@
     w.cancel("n0", "req-000001")
     node.mirror.pull(0.0)
     node.engine.on_report(worker.report(), after=w.clock.now - 5.0)
-    assert node.engine.shares[0].used_cpus == 1.0
+    assert node.engine.state.shares[0].used_cpus == 1.0
     w.pass_time(1.0)
     node.engine.on_report(worker.report(), after=w.clock.now)
-    assert node.engine.shares[0].used_cpus == 0.0
+    assert node.engine.state.shares[0].used_cpus == 0.0
 
 
 def test_a_silent_machine_is_deleted_before_its_tasks_are_requeued():
@@ -363,10 +363,10 @@
     assert worker.running()
     status, body, _ = w.nodes["n0"].report(old, NEVER)
     assert status == 200 and b'"orders":[]' in body
-    assert w.nodes["n0"].engine.shares[0].used_cpus == 1.0
+    assert w.nodes["n0"].engine.state.shares[0].used_cpus == 1.0
 
 
-def test_a_worker_that_lost_the_owner_is_sheltered_at_once_a_new_one_when_it_comes_back():
+def test_a_worker_that_lost_the_owner_is_relayed_at_once_a_new_one_when_it_comes_back():
     w = quiet(machines=1, nodes=2)
     owner = w.owner()
     other = next(n for n in w.nodes if n != owner)
@@ -383,7 +383,7 @@
     assert w.report(known, other) == 421, "by and by it tries the owner again"
 
 
-def test_a_sheltered_worker_keeps_its_lease_and_gets_its_orders_from_the_records():
+def test_a_relayed_worker_keeps_its_lease_and_gets_its_orders_from_the_records():
     # A second worker, which the owner hears, keeps it from handing over to the relay.
     w = quiet(machines=2, nodes=2)
     owner = w.owner()
@@ -399,7 +399,7 @@
     for _ in range(4):
         w.step(1.0)
         w.report(worker, other)
-    assert w.nodes[owner].engine.jobs["req-000001"].done, "the owner has learned it through the store"
+    assert w.nodes[owner].engine.state.jobs["req-000001"].done, "the owner has learned it through the store"
     w.cancel(other, "req-000001")
     for _ in range(4):
         w.step(1.5)
@@ -474,7 +474,7 @@
     w.boot("n0")
     for _ in range(10):
         w.step()
-    job = w.nodes["n0"].engine.jobs["req-000001"]
+    job = w.nodes["n0"].engine.state.jobs["req-000001"]
     assert len(job.done) >= 15 and len(job.open) > 30
 
 
@@ -533,10 +533,10 @@
     for _ in range(20):
         w.step(1.0)
         w.fleet("n0")
-    job = w.nodes["n0"].engine.jobs["req-000001"]
+    job = w.nodes["n0"].engine.state.jobs["req-000001"]
     assert 3 <= job.errors <= 8
     assert job.not_before > w.clock.now
-    assert not any(m.quarantined for m in w.nodes["n0"].engine.machines.values())
+    assert not any(m.quarantined for m in w.nodes["n0"].engine.state.machines.values())
 
 
 def test_a_job_that_no_worker_knows_does_not_keep_room_from_others():
@@ -568,7 +568,7 @@
         worker.fails = True
         worker.finish(worker.running()[0], "error")
     wait(w, 4.0)
-    job = w.nodes["n0"].engine.jobs["req-000001"]
+    job = w.nodes["n0"].engine.state.jobs["req-000001"]
     assert job.errors >= 3 and job.held_back == 0
     for name in sick:
         if name in w.workers and w.workers[name].running():
@@ -582,35 +582,35 @@
     engine = w.nodes["n0"].engine
     w.submit("n0", w.job(1, crew="blue", parts=8, bundle="img-a", guess_s=10.0))
     wait(w, 1.0, fleet=False)
-    assert len({p.machine for p in engine.jobs["req-000001"].open.values()}) == 2
+    assert len({p.machine for p in engine.state.jobs["req-000001"].open.values()}) == 2
     w.submit("n0", w.job(2, crew="red", parts=8, bundle="img-b", guess_s=10.0))
     wait(w, 3.0, fleet=False)
     assert len(running(w)) == 16
     # Room comes back where img-a is. The smaller job would go first, but would have to fetch its image there.
     w.submit("n0", w.job(3, crew="blue", parts=4, bundle="img-b", guess_s=10.0))
     w.submit("n0", w.job(4, crew="blue", parts=8, bundle="img-a", guess_s=10.0))
-    engine.images_at = NEVER
+    engine.state.images_at = NEVER
     for part in [p for p in running(w) if p.startswith("req-000001/")]:
         w.finish(part)
     wait(w, 3.0, fleet=False)
-    assert len(engine.jobs["req-000004"].open) == 8 and not engine.jobs["req-000003"].open
+    assert len(engine.state.jobs["req-000004"].open) == 8 and not engine.state.jobs["req-000003"].open
     for part in [p for p in running(w) if p.startswith("req-000002/")]:
         w.finish(part)
     wait(w, 3.0, fleet=False)
-    assert len(engine.jobs["req-000003"].open) == 4
+    assert len(engine.state.jobs["req-000003"].open) == 4
 
 
 def test_the_picture_of_a_machines_images_forgets_those_used_longest_ago():
     w = quiet(machines=1)
     engine = w.nodes["n0"].engine
-    engine.types = [msgspec.structs.replace(kind, cache_gb=2.5) for kind in engine.types]
+    engine.state.types = [msgspec.structs.replace(kind, cache_gb=2.5) for kind in engine.types]
     for number, image in enumerate(["img-a", "img-b", "img-a", "img-c"], 1):
         w.submit("n0", w.job(number, parts=1, bundle=image, size_gb=1.0))
         wait(w, 2.0, fleet=False)
         w.finish(f"req-{number:06d}/0")
         wait(w, 1.0, fleet=False)
-    machine = next(iter(engine.machines.values()))
-    assert [engine.images[i] for i in machine.images] == ["img-a", "img-c"]
+    machine = next(iter(engine.state.machines.values()))
+    assert [engine.state.images[i] for i in machine.images] == ["img-a", "img-c"]
 
 
 def test_a_refusal_for_lack_of_room_tries_elsewhere():
@@ -621,7 +621,7 @@
     for _ in range(8):
         w.step()
     assert len(running(w)) == 4
-    assert w.nodes["n0"].engine.refusals > 0
+    assert w.nodes["n0"].engine.state.refusals > 0
 
 
 def test_machines_are_rented_for_waiting_work_and_idle_ones_return_empty():
@@ -865,7 +865,7 @@
     w.submit("n0", w.job(2, parts=1, cpus=2.0, yard="north", crew="red"))
     for _ in range(8):
         w.step()
-    assert w.nodes["n0"].engine.moves == 1, "one task moved, and no other for it"
+    assert w.nodes["n0"].engine.state.moves == 1, "one task moved, and no other for it"
     north, south = w.workers.values()
     assert "req-000002/0" in north.running()
     assert len(south.running()) == 1 and south.running()[0].startswith("req-000001/")
@@ -878,7 +878,7 @@
         w.submit("n0", w.job(number, parts=5, guess_s=guess))  # more than the guarantee, so borrowed
     wait(w, 2.0, fleet=False)
     assert {p.split("/")[0] for p in running(w)} == {"req-000002"}
-    engine.targets = {"sweep": 60.0}
+    engine.state.targets = {"sweep": 60.0}
     for part in running(w):
         w.finish(part)
     wait(w, 2.0, fleet=False)
@@ -895,7 +895,7 @@
     # Together with the unfinished one the next job of blue is beyond 4 CPUs, though less work is left in it.
     w.submit("n0", w.job(2, crew="blue", parts=1, guess_s=1.0))
     w.submit("n0", w.job(3, crew="red", parts=4, guess_s=60.0))
-    assert w.nodes["n0"].engine._entitled() == {"req-000001", "req-000003"}
+    assert w.nodes["n0"].engine.scheduling._entitled() == {"req-000001", "req-000003"}
     w.finish("req-000001/0")
     wait(w, 2.0, fleet=False)
     assert "req-000003/0" in running(w) and "req-000002/0" not in running(w)
@@ -909,7 +909,7 @@
     w.submit("n0", w.job(2, parts=2, crew="blue", rank="urgent"))
     w.step_node("n0")
     engine = w.nodes["n0"].engine
-    assert not engine.halting
+    assert not engine.state.halting
     w.finish("req-000001/0")
     w.finish("req-000001/1")
     wait(w, 1.0, fleet=False)
@@ -928,7 +928,9 @@
     stopped = 0
     for _ in range(60):
         w.step(1.0)
-        stopped += sum(p.halting for m in w.nodes["n0"].engine.machines.values() for p in m.open.values())
+        stopped += sum(
+            p.halting for m in w.nodes["n0"].engine.state.machines.values() for p in m.open.values()
+        )
     assert stopped == 0
     assert len(running(w)) == 8
 
@@ -945,7 +947,9 @@
     node.mirror.pull(0.0)
     node.engine.round()
     worker = next(iter(w.workers.values()))
-    first, second = (key for key, p in next(iter(node.engine.machines.values())).open.items() if p.halting)
+    first, second = (
+        key for key, p in next(iter(node.engine.state.machines.values())).open.items() if p.halting
+    )
     worker.finish(first[0], "halted")
     w.report(worker)
     w.step_node("n0")
@@ -963,7 +967,7 @@
     w.step()
     w.finish("req-000001/0")
     w.step()
-    have = [m.name for m in w.nodes[owner].engine.machines.values() if any(m.images.values())]
+    have = [m.name for m in w.nodes[owner].engine.state.machines.values() if any(m.images.values())]
     assert len(have) == 1
     w.nodes[owner].summary_step()
     assert max(w.state.sizes) <= 512
@@ -971,14 +975,14 @@
     for _ in range(12):
         w.step()
     new = w.nodes[w.owner()].engine
-    assert [m.name for m in new.machines.values() if any(m.images.values())] == have
+    assert [m.name for m in new.state.machines.values() if any(m.images.values())] == have
 
 
 def test_a_node_that_alone_is_refused_by_the_state_sends_users_elsewhere():
     w = quiet(nodes=2)
     assert w.nodes["n1"].healthy()
     w.state.refuses.add("n1")
-    w.nodes["n1"].peers = {"n0": lambda timeout_s: w.nodes["n0"].status()}
+    w.nodes["n1"].peers.asks = {"n0": lambda timeout_s: w.nodes["n0"].status()}
     for _ in range(5):
         w.step(1.0)
         w.nodes["n1"]._peer_step()
@@ -1054,7 +1058,7 @@
 
 def test_a_job_that_comes_while_a_new_owner_reads_the_records_is_not_overlooked(monkeypatch):
     w = quiet()
-    adopt = Engine.adopt
+    adopt = OwnerState.adopt
 
     def slow(engine, found, *rest):
         found = list(found)
@@ -1062,7 +1066,7 @@
         assert w.submit("n0", w.job(1)) == 201
         adopt(engine, found, *rest)
 
-    monkeypatch.setattr(Engine, "adopt", slow)
+    monkeypatch.setattr(OwnerState, "adopt", slow)
     w.boot("n0")  # its old incarnation is gone from the map at once, so it takes over here
     for _ in range(3):
         w.step()
@@ -1104,7 +1108,7 @@
     node.engine.committed(batch)
     assert not any(p.durable for p in [*batch.placements, *flying.placements])
     assert flying.placements
-    assert node.engine.flying is flying, "what this term has on its way is not answered by that"
+    assert node.engine.state.flying is flying, "what this term has on its way is not answered by that"
     node.engine.not_committed(flying)
     for _ in range(3):
         w.step()
@@ -1128,7 +1132,7 @@
     w.boot("n0")
     for _ in range(4):
         w.step()
-    assert not any(m.reported for m in w.nodes["n0"].engine.machines.values())
+    assert not any(m.reported for m in w.nodes["n0"].engine.state.machines.values())
 
 
 # -- the users' addition: deaf machines, late copies, a controller cut off, quick returns, no starvation ---
@@ -1178,7 +1182,7 @@
     deaf = next(iter(w.workers.values()))
     deaf.deaf = True
     wait(w, 26.0, fleet=False)
-    machine = next(iter(w.nodes["n0"].engine.machines.values()))
+    machine = next(iter(w.nodes["n0"].engine.state.machines.values()))
     assert deaf.session == 3 and machine.quarantined, "two leases ran out although it was answered"
 
 
@@ -1194,8 +1198,8 @@
     for _ in range(4):
         w.step()
     node = w.nodes["n0"]
-    assert any(m.reported for m in node.engine.machines.values())
-    assert not node.engine.jobs["req-000001"].open
+    assert any(m.reported for m in node.engine.state.machines.values())
+    assert not node.engine.state.jobs["req-000001"].open
     worker.deaf = False
     for _ in range(3):
         w.step()
@@ -1250,8 +1254,8 @@
     for copy in copies:
         w.replay(copy, "n0")
         wait(w, 0.5, fleet=False)
-    assert w.nodes["n0"].engine.machines, "it was heard of"
-    assert not w.nodes["n0"].engine.jobs["req-000001"].open, "and got nothing"
+    assert w.nodes["n0"].engine.state.machines, "it was heard of"
+    assert not w.nodes["n0"].engine.state.jobs["req-000001"].open, "and got nothing"
 
 
 def test_a_copy_neither_closes_nor_opens_anything_nor_counts_as_a_second_failure():
@@ -1263,14 +1267,14 @@
         w.step()
     assert running(w) == ["req-000001/0"]
     engine = w.nodes["n0"].engine
-    place = engine.jobs["req-000001"].open[0]
+    place = engine.state.jobs["req-000001"].open[0]
     w.replay(before, "n0")  # sent when the task was not there yet
     w.step()
-    assert engine.jobs["req-000001"].open[0] is place
+    assert engine.state.jobs["req-000001"].open[0] is place
     worker.finish("req-000001/0", "error")
     failed = worker.report()
     w.step()
-    job = engine.jobs["req-000001"]
+    job = engine.state.jobs["req-000001"]
     assert job.errors == 1
     for _ in range(3):
         w.replay(failed, "n0")
@@ -1294,12 +1298,12 @@
         for name in list(w.nodes):
             w.step_node(name)
     engine = w.nodes[w.owner()].engine
-    assert engine.jobs["req-000001"].open
+    assert engine.state.jobs["req-000001"].open
     w.replay(empty, w.owner())
-    assert engine.jobs["req-000001"].open, "a copy proves nothing"
+    assert engine.state.jobs["req-000001"].open, "a copy proves nothing"
     for _ in range(3):
         w.step()
-    assert "req-000001" not in engine.jobs
+    assert "req-000001" not in engine.state.jobs
 
 
 def test_a_copy_moves_no_worker_between_owner_and_relay():
@@ -1310,13 +1314,13 @@
     copy = worker.report()
     assert w.report(worker, other) in (200, 421)
     wait(w, 15.0, fleet=False)
-    sheltered = w.nodes[other].relay
-    before = dict(sheltered._until), dict(sheltered._reports)
+    relay = w.nodes[other].relay
+    before = dict(relay._until), dict(relay._reports)
     for _ in range(3):
         w.pass_time(2.0)
         w.replay(copy, other)
-    assert (sheltered._until, sheltered._reports) == before
-    machine = next(iter(w.nodes[owner].engine.machines.values()))
+    assert (relay._until, relay._reports) == before
+    machine = next(iter(w.nodes[owner].engine.state.machines.values()))
     assert machine.relay == ""
 
 
@@ -1371,7 +1375,7 @@
     number = 1
     began: dict[str, float] = {}
     for _ in range(240):
-        while sum(len(j.waiting) for j in w.nodes["n0"].engine.jobs.values()) < 60:
+        while sum(len(j.waiting) for j in w.nodes["n0"].engine.state.jobs.values()) < 60:
             number += 1
             w.submit("n0", w.job(number, crew="blue", parts=4, rank="urgent", guess_s=10.0))
         wait(w, 2.0, fleet=False)
@@ -1421,11 +1425,11 @@
             node.cloud_calls.delete(sorted(w.workers))
         elif first == "rent":
             node.cloud_calls.rent(RentalOrder("small", "north", True, 3, "backlog"))
-            assert not node.engine.refused, "the cloud was not asked, so it has refused nothing"
+            assert not node.engine.state.refused, "the cloud was not asked, so it has refused nothing"
         elif first == "command":
-            index = node.engine.machines_by.find(worker.name)
-            for place in node.engine.machines[index].open.values():
-                node.engine.halt(place, 0.0)
+            index = node.engine.state.machines_by.find(worker.name)
+            for place in node.engine.state.machines[index].open.values():
+                node.engine.state.halt(place, 0.0)
             node._command_step()
         else:
             copy = msgspec.structs.replace(worker.report(), token=1, tick=999)
--- a/tests/test_takeover_estimates.py
+++ b/tests/test_takeover_estimates.py
@@ -32,9 +32,9 @@
     for task in range(4):
         cluster.finish(f"req-000001/{task}")
     wait(cluster, 2.0, fleet=False)
-    job = engine.jobs["req-000001"]
+    job = engine.state.jobs["req-000001"]
     assert len(job.done) == 4
-    assert engine.expected(job) == GUESS_S
+    assert engine.state.expected(job) == GUESS_S
 
 
 def test_what_the_new_owner_placed_itself_does_teach_them():
@@ -45,12 +45,12 @@
     for task in range(2):
         cluster.finish(f"req-000002/{task}")
     wait(cluster, 2.0, fleet=False)
-    assert engine.expected(engine.jobs["req-000001"]) < GUESS_S
+    assert engine.state.expected(engine.state.jobs["req-000001"]) < GUESS_S
 
 
 def test_stopping_an_inherited_task_loses_more_than_the_time_since_the_takeover():
     cluster, heir = takeover()
     engine = cluster.nodes[heir].engine
-    job = engine.jobs["req-000001"]
+    job = engine.state.jobs["req-000001"]
     for place in job.open.values():
         assert lost_work(job, place, cluster.clock.now, GUESS_S) >= 0.5 * GUESS_S
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -294,7 +294,7 @@
         assert w.owner() == "n2", "not handed to one that is still to go, nor back"
         assert len(running(w)) == 3
     assert w.nodes["n2"].membership.view.token == token + 1
-    assert not w.nodes["n0"].older_peers() and not w.nodes["n2"].older_peers()
+    assert not w.nodes["n0"].peers.older() and not w.nodes["n2"].peers.older()
 
 
 def test_no_takeover_from_an_old_owner_while_anybody_is_out_of_reach():
@@ -320,7 +320,7 @@
     new, old = w.nodes["n1"].membership, w.nodes["n2"].membership
     assert new.turn() < old.turn() and new.turn() == 0.0
     w.old.discard("n0")  # as if n0 were new, too
-    w.nodes["n1"]._releases["n0"] = mesh.RELEASE
+    w.nodes["n1"].peers.releases["n0"] = mesh.RELEASE
     assert new.turn() > 0.0
 
 
--- a/tools/owner_cost.py
+++ b/tools/owner_cost.py
@@ -67,7 +67,7 @@
         settings: Settings = parse(SETTINGS)
         self.engine = Engine(settings, policy, lambda: self.now, lambda: self.now, random.Random(seed))
         self.ledger = Ledger(settings_bytes())
-        self.engine.with_ledger = lambda call: call(self.ledger)
+        self.engine.state.with_ledger = lambda call: call(self.ledger)
         self.rng = random.Random(seed)
         self.stamp = 1
         self.jobs = 0
@@ -85,7 +85,7 @@
         """One report of a machine on which all that was placed there runs, and its answer."""
         engine = self.engine
         self.ticks[name] += 1
-        machine = engine.machines.get(engine.machines_by.index(name))
+        machine = engine.state.machines.get(engine.state.machines_by.index(name))
         places = list(machine.open.values()) if machine is not None else []
         states = [workers.TaskState(p.part, p.attempt, workers.RUNNING) for p in places if p.durable]
         zone = TYPE.zones[int(name[3:]) % 2]
@@ -166,7 +166,7 @@
     for _ in range(20):
         fleet.submit(min(40, whole // 24))
     start_ms = milliseconds(fleet.round, 1)
-    while sum(len(m.open) for m in fleet.engine.machines.values()) < whole:
+    while sum(len(m.open) for m in fleet.engine.state.machines.values()) < whole:
         fleet.submit(200)
         fleet.round()
     transactions = fleet.commit()
