--- a/bayford/admission/distinct.py
+++ b/bayford/admission/distinct.py
@@ -13,7 +13,7 @@
 from bayford.admission.level import REPEAT_S, Flow
 
 HASHES = 1 << 32
-MOST_SAMPLED = 512  # jobs that one controller remembers
+MOST_SAMPLED = 1024  # jobs that one controller remembers
 FEW = 8  # with fewer the threshold rises again: repeats of jobs that lay above it would pass for new ones
 # The owner remembers longer: what a controller has just forgotten may be repeated there a last time, and told
 # again for a while.
--- a/bayford/admission/load.py
+++ b/bayford/admission/load.py
@@ -9,8 +9,8 @@
 DECREASE = 0.85  # of the capacity, when the ledger is held up
 FEW_REFUSALS = 1  # transactions refused in an interval do not show that: bursts meet
 INCREASE = 0.05  # of its beginning, otherwise
-LEAST, MOST = 0.25, 1.5  # of its beginning
-LAG_S = 2.0  # the ledger is held up when it is so far behind
+LEAST, MOST = 0.25, 2.0  # of its beginning
+LAG_S = 10.0  # the ledger is held up when it is so far behind
 
 
 class Rates(Generic[K]):
@@ -50,7 +50,7 @@
     """
 
     def __init__(self, beginning: float) -> None:
-        self._beginning = beginning
+        self.beginning = beginning
         self.per_s = beginning
 
     def update(self, refusing: bool, refused: int, lag_s: float) -> None:
@@ -60,8 +60,8 @@
         fall with every burst, and refusing begin again on the way out of a flood.
         """
         if not refusing:
-            self.per_s = self._beginning
+            self.per_s = self.beginning
         elif refused > FEW_REFUSALS or lag_s > LAG_S:
-            self.per_s = max(LEAST * self._beginning, self.per_s * DECREASE)
+            self.per_s = max(LEAST * self.beginning, self.per_s * DECREASE)
         else:
-            self.per_s = min(MOST * self._beginning, self.per_s + INCREASE * self._beginning)
+            self.per_s = min(MOST * self.beginning, self.per_s + INCREASE * self.beginning)
--- a/bayford/coordination/admission_control.py
+++ b/bayford/coordination/admission_control.py
@@ -119,7 +119,10 @@
         demand = accepted | self._demand.rates(now)
         capacity = self._capacity.per_s
         guarantees = {team: capacity * weight for team, weight in self._weights.items()}
-        return Load(demand, accepted, capacity, guarantees, work.over_guarantee, work.backlog_s)
+        return Load(
+            demand, accepted, capacity, self._capacity.beginning, guarantees, work.over_guarantee,
+            work.backlog_s,
+        )  # fmt: skip
 
     @staticmethod
     def _log_change(before: Level | None, level: Level, load: Load) -> None:
--- a/bayford/coordination/admission_gate.py
+++ b/bayford/coordination/admission_gate.py
@@ -23,7 +23,8 @@
 
 log = logging.getLogger("bayford.admission")
 
-PACED_RETRY_S = 2  # when a submission comes back that is admitted, but not within the pace
+# When a submission comes back that is admitted, but not within the pace.
+URGENT_PACED_RETRY_S, PACED_RETRY_S = 1, 5
 TOO_MANY_REQUESTS = 429
 SERVICE_UNAVAILABLE = 503
 
@@ -90,12 +91,14 @@
         allowed = None
         if level is not None and level.accept_rps:
             allowed = level.accept_rps / max(1, view.controllers)
+        urgent = spec.priority >= URGENT
         with self._lock:
-            within_pace = self._pace.take(spec.priority >= URGENT, allowed)
+            within_pace = self._pace.take(urgent, allowed)
         if within_pace:
             return Verdict(None, conditions)
         text = "more submissions are admitted than can be written in a second"
-        return Verdict(Reply(SERVICE_UNAVAILABLE, jobs.error(text), PACED_RETRY_S), conditions)
+        retry_after_s = URGENT_PACED_RETRY_S if urgent else PACED_RETRY_S
+        return Verdict(Reply(SERVICE_UNAVAILABLE, jobs.error(text), retry_after_s), conditions)
 
     def written(self) -> None:
         """The state service has taken an acceptance."""
--- a/bayford/coordination/group_commit.py
+++ b/bayford/coordination/group_commit.py
@@ -150,9 +150,10 @@
             self._batch.tasks[name] = taken
 
     def _add_endings(self) -> None:
-        """Jobs that are over, all of whose changes are in this batch or before it."""
+        """Jobs that are over, all of whose changes are in this batch or before it; urgent ones first, since
+        in a flood of small jobs this queue is long."""
         state = self._state
-        for name in list(state.ending):
+        for name in sorted(state.ending, key=lambda name: state.jobs[name].spec.priority < URGENT):
             job = state.jobs[name]
             if self._left() <= 0 or not self._rows[-1].room(name):
                 break
--- a/tests/test_admission_cluster.py
+++ b/tests/test_admission_cluster.py
@@ -273,6 +273,25 @@
     assert against_level(history, flows) == [] and refused_wrongly(history, told, flows) == []
 
 
+def test_urgent_jobs_are_told_as_done_before_the_long_queue_of_others():
+    w = cluster(machines=2)
+    owner = w.owner()
+    engine = w.nodes[owner].engine
+    for number in range(1, 5):
+        assert answer(w, owner, number).status == 201
+    assert answer(w, owner, 5, lane="build", rank="urgent").status == 201
+    for _ in range(4):
+        w.step()
+    for worker in w.workers.values():
+        for part in worker.running():
+            w.done_tasks.add(part)
+            worker.finish(part)
+        w.report(worker)
+    assert len(engine.state.ending) == 5
+    batch = engine.take_batch(2)
+    assert batch.over[0] == "req-000005" and len(batch.over) == 1
+
+
 def test_a_backlog_counts_only_while_the_cloud_gives_no_more_machines():
     w = cluster(machines=2)
     owner = w.owner()
