--- a/tests/test_admission_cluster.py
+++ b/tests/test_admission_cluster.py
@@ -282,12 +282,13 @@
     assert answer(w, owner, 5, lane="build", rank="urgent").status == 201
     for _ in range(4):
         w.step()
-    for worker in w.workers.values():
-        for part in worker.running():
-            w.done_tasks.add(part)
-            worker.finish(part)
-        w.report(worker)
-    assert len(engine.state.ending) == 5
+    for urgent in (False, True):  # the urgent one is the last to end
+        for worker in w.workers.values():
+            for part in [p for p in worker.running() if p.startswith("req-000005") == urgent]:
+                w.done_tasks.add(part)
+                worker.finish(part)
+            w.report(worker)
+    assert list(engine.state.ending)[-1] == "req-000005" and len(engine.state.ending) == 5
     batch = engine.take_batch(2)
     assert batch.over[0] == "req-000005" and len(batch.over) == 1
 
