Admission: in a flood acceptances may run ahead of the jobs that are done

Change: refusing begins with 1.8 times what can be kept up and comes down as the ledger falls 60 s behind; the ledger keeps to what acceptances leave while jobs are refused; overload is judged by what can be kept up.

--- a/bayford/admission/control.py
+++ b/bayford/admission/control.py
@@ -13,7 +13,7 @@
 
 LEAST_CORRECTION, MOST_CORRECTION = 0.05, 4.0
 LEAST_STEP, MOST_STEP = 0.8, 1.25  # of the correction, from one level to the next
-PACE_MARGIN = 2.0  # the pace is a bound on bursts; it is the windows that keep to the capacity
+PACE_MARGIN = 1.5  # the pace is a bound on bursts; it is the windows that keep to the capacity
 WHOLE = 0.999  # a flow that is given as much of its demand needs no window
 SUBMISSIONS, BACKLOG = "submissions", "backlog"
 
@@ -39,7 +39,7 @@
     demand: Mapping[Flow, float]  # new jobs a second
     accepted: Mapping[Flow, float]  # acceptances a second
     capacity: float  # acceptances a second, as the ledger allows at the moment
-    nominal: float  # the same before anything was learned: what tells whether there is overload at all
+    kept_up: float  # what can go on for ever: more is overload
     guarantees: Mapping[str, float]  # acceptances a second that are each team's own
     over_guarantee: frozenset[str] = frozenset()  # teams whose open work exceeds their guaranteed CPUs
     # Seconds of the whole fleet that the work of each priority and of those above takes; empty while the
@@ -111,7 +111,7 @@
     def _overload(self, load: Load, refusing: bool) -> str:
         """Why jobs have to be refused, empty if they need not be. It takes less to go on than to begin."""
         ratio = self._times.leave if refusing else self._times.enter
-        if sum(load.demand.values()) > ratio * load.nominal:
+        if sum(load.demand.values()) > ratio * load.kept_up:
             return SUBMISSIONS
         limit_s = self._times.backlog_s * (self._times.leave if refusing else 1.0)
         return BACKLOG if any(seconds > limit_s for seconds in load.backlog_s.values()) else ""
--- a/bayford/admission/load.py
+++ b/bayford/admission/load.py
@@ -8,9 +8,10 @@
 
 DECREASE = 0.85  # of the capacity, when the ledger is held up
 FEW_REFUSALS = 1  # transactions refused in an interval do not show that: bursts meet
-INCREASE = 0.05  # of its beginning, otherwise
-LEAST, MOST = 0.25, 2.0  # of its beginning
-LAG_S = 10.0  # the ledger is held up when it is so far behind
+INCREASE = 0.05  # of what can be kept up, otherwise
+LEAST, MOST = 0.25, 1.8  # of what can be kept up
+LAG_S = 60.0  # the ledger is held up when it is so far behind with jobs that are done
+SPARE_SHARE = 0.08  # of the changes a second, for leases, levels and cancellations
 
 
 class Rates(Generic[K]):
@@ -45,23 +46,31 @@
 class AcceptanceCapacity:
     """Acceptances a second that the state service takes beside the ledger.
 
-    Additive increase, multiplicative decrease: a transaction of the ledger needs many changes at once, and
-    single acceptances that use all there is would keep it from ever being taken.
+    A job costs a change when it is accepted and one when it is done. In a flood the second may wait for a
+    while, so refusing begins with a capacity above what can be kept up, and comes down to it as the ledger
+    falls behind: multiplicative decrease, additive increase. A transaction of the ledger needs many changes
+    at once, and single acceptances that use all there is would keep it from ever being taken; so each of the
+    two has a part of its own.
     """
 
-    def __init__(self, beginning: float) -> None:
-        self.beginning = beginning
-        self.per_s = beginning
+    def __init__(self, kept_up: float, write_rps: float) -> None:
+        """`kept_up`: acceptances a second that can go on for ever. `write_rps`: changes a second in all."""
+        self.kept_up = kept_up
+        self.per_s = kept_up
+        self._write_rps = write_rps
+
+    def ledger_rps(self) -> float:
+        """Changes a second that are left to the ledger while jobs are refused."""
+        return max(0.25 * self._write_rps, (1.0 - SPARE_SHARE) * self._write_rps - self.per_s)
 
     def update(self, refusing: bool, refused: int, lag_s: float) -> None:
         """Once an interval: how many transactions of the ledger were refused, how far it is behind.
 
-        While no jobs are refused the capacity holds nothing back, so nothing is to be learned of it; it would
-        fall with every burst, and refusing begin again on the way out of a flood.
+        While no jobs are refused the capacity holds nothing back, so nothing is to be learned of it.
         """
         if not refusing:
-            self.per_s = self.beginning
+            self.per_s = MOST * self.kept_up
         elif refused > FEW_REFUSALS or lag_s > LAG_S:
-            self.per_s = max(LEAST * self.beginning, self.per_s * DECREASE)
+            self.per_s = max(LEAST * self.kept_up, self.per_s * DECREASE)
         else:
-            self.per_s = min(MOST * self.beginning, self.per_s + INCREASE * self.beginning)
+            self.per_s = min(MOST * self.kept_up, self.per_s + INCREASE * self.kept_up)
--- a/bayford/coordination/admission_control.py
+++ b/bayford/coordination/admission_control.py
@@ -60,7 +60,7 @@
 
     def _begin(self, now: float) -> None:
         self._control.begin(now)
-        self._capacity = AcceptanceCapacity(self._share * self._limits.write_rps)
+        self._capacity = AcceptanceCapacity(self._share * self._limits.write_rps, self._limits.write_rps)
         self._demand = DistinctDemand(self._times.window_s)
         self._accepted: Rates[Flow] = Rates(self._times.window_s)
         self._ledger_refused: int | None = None
@@ -100,6 +100,14 @@
         self._log_change(view.level, level, load)
         return Put(records.ADMISSION, encode(level, self._limits.value_bytes))
 
+    def ledger_rps(self, view: LevelView) -> float | None:
+        """Changes a second that the ledger has to keep to under this level, None for what it always has."""
+        level = view.in_force
+        if level is None or not level.accept_rps:
+            return None
+        with self._lock:
+            return self._capacity.ledger_rps()
+
     def not_written(self) -> None:
         """The last level was refused, or nobody knows: the next one need not wait for its time."""
         with self._lock:
@@ -118,9 +126,9 @@
         # Acceptances are no demand where that is known: after a flood those who still repeat are accepted.
         demand = accepted | self._demand.rates(now)
         capacity = self._capacity.per_s
-        guarantees = {team: capacity * weight for team, weight in self._weights.items()}
+        guarantees = {team: self._capacity.kept_up * weight for team, weight in self._weights.items()}
         return Load(
-            demand, accepted, capacity, self._capacity.beginning, guarantees, work.over_guarantee,
+            demand, accepted, capacity, self._capacity.kept_up, guarantees, work.over_guarantee,
             work.backlog_s,
         )  # fmt: skip
 
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -47,6 +47,7 @@
 GATE_WAIT_S = 1.0
 VERIFY_S = 2.0  # how old the owner lets its last read become, with nothing to start
 ADOPT_WAIT_S = 2.0
+LEDGER_SHARE = 0.7  # of the changes a second
 RELAY_SHARE = 0.5  # of the changes a second: what a relay may take of them,
 RELAY_BURST = 0.9  # and at once, of those of one second
 COMMANDERS = 3
@@ -114,7 +115,7 @@
             feature_names=[ADMISSION] if engine.policy.admission else [],
         )  # fmt: skip
         self.relay = relaying.Relay(self.name, self.mirror, self.limits, clock, wall)
-        rate = self.limits.write_rps * 0.7
+        self._ledger_rps = rate = self.limits.write_rps * LEDGER_SHARE
         # One change carries what has happened in a tenth of a second; the rest is left to the other
         # controllers' submissions, each a change of its own.
         self.writes = Budget(rate, max(float(self.limits.txn_ops), rate), clock)
@@ -585,7 +586,8 @@
         self._admission.note_submitted(self.name, self._gate.submitted(), now)
         term, view = self.engine.term, self._gate.view()
         counts = self._counted_stores["ledger"].counts()
-        ledger = LedgerFacts(counts.refused, self.engine.endings() / self.writes.rate)
+        ledger = LedgerFacts(counts.refused, self.engine.endings() / self._ledger_rps)
+        self.writes.rate = self._admission.ledger_rps(view) or self._ledger_rps
         put = self._admission.step(
             term, view, self.engine.work_facts, ledger, now, self.wall()
         )  # fmt: skip
--- a/tests/test_admission_cluster.py
+++ b/tests/test_admission_cluster.py
@@ -260,12 +260,14 @@
     assert refusing.windows and {window.team for window in refusing.windows} == {"red"}
     assert {window.job_class for window in refusing.windows} == {"sweep"}, "urgent ones go first"
     assert all(each.status != 429 for each in mine + urgent)
+    assert w.nodes[w.owner()].writes.rate < 4.0, "the ledger keeps to what the acceptances leave"
     assert any(each.status == 201 for each in told[-400:]), "the flood itself goes on"
     numbers = []
     for _ in range(60):
         w.step()
         numbers.append(stored_level(w).number)
     assert stored_level(w).is_open
+    assert w.nodes[w.owner()].writes.rate == pytest.approx(7.0)
     assert len(set(numbers[30:])) == 1, "no swinging"
     assert answer(w, "n1", 9999).status == 201
     history = [Row(row.key, row.value, row.stamp) for row in w.state.log]
