Admission: the owner's two locks are taken in one order; demand is new jobs alone

Acceptances of those who still repeat counted as demand where no new job of the flow came. Change: facts are gathered first; demand is what the samples show; refusals are logged; the check for two choices under one level also takes acceptances by their revision, which users are not told.

--- a/bayford/admission/control.py
+++ b/bayford/admission/control.py
@@ -78,12 +78,16 @@
         """The last level has not been written, as far as is known: the next is due at once."""
         self._published = False
 
+    def is_due(self, now: float) -> bool:
+        """Whether it is time for another level, should one be needed."""
+        return not self._published or now - self._written >= self._times.interval_s
+
     def next_level(
         self, before: Level | None, load: Load, now: float, wall: float, new_key: str
     ) -> Level | None:
         """The level to publish now, None to leave the present one. `new_key`: for the first that refuses."""
         refusing = before is not None and not before.is_open
-        if self._published and now - self._written < self._times.interval_s:
+        if not self.is_due(now):
             return None
         self._published = True
         reason = self._overload(load, refusing)
--- a/bayford/admission/load.py
+++ b/bayford/admission/load.py
@@ -56,7 +56,7 @@
     def __init__(self, kept_up: float, write_rps: float) -> None:
         """`kept_up`: acceptances a second that can go on for ever. `write_rps`: changes a second in all."""
         self.kept_up = kept_up
-        self.per_s = kept_up
+        self.per_s = MOST * kept_up
         self._write_rps = write_rps
 
     def ledger_rps(self) -> float:
--- a/bayford/coordination/admission_control.py
+++ b/bayford/coordination/admission_control.py
@@ -85,15 +85,20 @@
         now: float,
         wall: float,
     ) -> Put | None:
-        """The level to write now, if any, under the term and the stamp of the level in `view`."""
+        """The level to write now, if any, under the term and the stamp of the level in `view`.
+
+        `work` takes the lock of the owner's state, under which accepted jobs are noted here: it is called
+        before our own lock is taken, or two threads could wait for each other.
+        """
+        if view.lacking or (term == self._term and not self._control.is_due(now)):
+            return None
+        facts = work()
         with self._lock:
             if term != self._term:
                 self._term = term
                 self._begin(now)
-            if view.lacking:
-                return None
             self._update_capacity(view.level is not None and not view.level.is_open, ledger, now)
-            load = self._load(work(), now)
+            load = self._load(facts, now)
             level = self._control.next_level(view.level, load, now, wall, secrets.token_hex(KEY_BYTES))
         if level is None:
             return None
@@ -122,9 +127,8 @@
         self._capacity.update(refusing, refused, ledger.lag_s)
 
     def _load(self, work: WorkFacts, now: float) -> Load:
-        accepted = self._accepted.rates(now)
-        # Acceptances are no demand where that is known: after a flood those who still repeat are accepted.
-        demand = accepted | self._demand.rates(now)
+        # Acceptances are no demand: after a flood those who still repeat are accepted.
+        demand, accepted = self._demand.rates(now), self._accepted.rates(now)
         capacity = self._capacity.per_s
         guarantees = {team: self._capacity.kept_up * weight for team, weight in self._weights.items()}
         return Load(
--- a/bayford/coordination/admission_gate.py
+++ b/bayford/coordination/admission_gate.py
@@ -68,7 +68,7 @@
         self._lacking: tuple[str, ...] = ()
         self._pace = AcceptancePace(write_rps, clock)
         self._submitted = SubmittedJobs()
-        self._refused: dict[Flow, int] = {}
+        self._refused = 0
 
     def flow(self, spec: JobSpec) -> Flow:
         """The flow that a job belongs to."""
@@ -86,7 +86,7 @@
         decision = decide(level, flow, spec.id)
         if level is not None and not decision.admitted:
             with self._lock:
-                self._refused[flow] = self._refused.get(flow, 0) + 1
+                self._refused += 1
             return Verdict(_refusal(flow, level, view.stamp, decision.retry_after_s), conditions)
         allowed = None
         if level is not None and level.accept_rps:
@@ -143,7 +143,7 @@
     def refused(self) -> int:
         """How many submissions were refused for the level since the start."""
         with self._lock:
-            return sum(self._refused.values())
+            return self._refused
 
 
 def _refusal(flow: Flow, level: Level, revision: int, retry_after_s: int) -> Reply:
--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -651,6 +651,8 @@
                 "state service, %s: %d requests, %d changes, %d refused, %d conflicts so far",
                 store.part, counts.requests, counts.changes, counts.refused, counts.conflicts,
             )  # fmt: skip
+        if self._gate is not None and self._gate.refused():
+            log.info("admission: %d submissions refused here so far", self._gate.refused())
         return LOG_WAITING_S
 
     def _peer_step(self) -> float:
--- a/standins/admission_history.py
+++ b/standins/admission_history.py
@@ -69,6 +69,19 @@
     return out
 
 
+def accepted_under(changes: Iterable[Row]) -> list[Told]:
+    """Of each job the level that was stored when its record was first written, as if it had been told."""
+    stamp = 0
+    found: dict[str, Told] = {}
+    for row in changes:
+        if row.key == records.ADMISSION:
+            stamp = row.stamp
+        elif row.key.startswith(records.JOBS):
+            job_id = row.key[len(records.JOBS) :]
+            found.setdefault(job_id, Told("", job_id, 201, stamp))
+    return list(found.values())
+
+
 def refused_wrongly(changes: Iterable[Row], told: Iterable[Told], flows: Mapping[str, Flow]) -> list[Told]:
     """Refusals by a level that admits the job, by none that was ever written, or after its acceptance."""
     levels: dict[int, Level | None] = {}
@@ -91,10 +104,7 @@
 
 
 def chosen_differently(told: Iterable[Told]) -> list[str]:
-    """Jobs of which one level was told both as their refusal and as the one of their acceptance.
-
-    An acceptance that names a level's revision says that it stands under that level.
-    """
+    """Jobs of which one level stands both for their refusal and for their acceptance (`accepted_under`)."""
     choices: dict[tuple[str, int], set[bool]] = {}
     for answer in told:
         if answer.revision and answer.status in (201, 429):
--- a/tests/test_admission_cluster.py
+++ b/tests/test_admission_cluster.py
@@ -1,6 +1,7 @@
 """Admission with several controllers that fail: stories against the simulated cluster."""
 
 import logging
+import threading
 
 import msgspec
 import orjson
@@ -11,12 +12,14 @@
 
 from bayford.admission.choice import decide
 from bayford.admission.level import POSITIONS, Flow, Level, Window, encode
+from bayford.coordination.admission_control import LedgerFacts, WorkFacts
 from bayford.protocol import jobs
 from bayford.scheduling.policy import Policy
 from bayford.storage import records
 from bayford.storage.store import Put, Row
 from standins.admission_history import (
     Told,
+    accepted_under,
     against_level,
     began_too_late,
     chosen_differently,
@@ -295,6 +298,26 @@
     assert batch.over[0] == "req-000005" and len(batch.over) == 1
 
 
+def test_accepted_jobs_are_noted_while_the_owner_works_out_a_level():
+    """The owner's state is locked when it tells of an accepted job: neither may wait for the other."""
+    w = cluster()
+    node = w.nodes[w.owner()]
+    control, ledger = node._admission, LedgerFacts(0, 0.0)
+
+    def gather():
+        control.note_accepted(SWEEP, w.clock.now)  # as another thread does under the state's lock
+        return WorkFacts(frozenset(), {})
+
+    step = threading.Thread(
+        target=control.step,
+        args=(node.engine.term, node._gate.view(), gather, ledger, w.clock.now + 9.0, 1.0),
+        daemon=True,
+    )
+    step.start()
+    step.join(5.0)
+    assert not step.is_alive()
+
+
 def test_a_backlog_counts_only_while_the_cloud_gives_no_more_machines():
     w = cluster(machines=2)
     owner = w.owner()
@@ -408,8 +431,8 @@
     assert refused_wrongly([Row(records.key(LOST), [], 3), LEVEL], [refused], FLOWS), "known already"
     admitting = Row(records.ADMISSION, encode(level(1.0), 4096), 5)
     assert refused_wrongly([admitting], [refused], FLOWS)
-    assert chosen_differently([refused, Told("n1", LOST, 201, 5)]) == [LOST]
-    assert chosen_differently([refused, Told("n1", LOST, 201, 9)]) == []
+    assert chosen_differently([refused, *accepted_under([LEVEL, WRITTEN])]) == [LOST]
+    assert chosen_differently([refused, *accepted_under([WRITTEN, LEVEL])]) == []
     done, forgotten = Event("req-1/0", 1, "vm-1", "done"), Event("req-1/0", 1, "vm-1", "forgotten")
     again = Event("req-1/0", 2, "vm-2", "done")
     assert done_again([done, again]) == ["req-1/0"] and done_again([done, forgotten, again]) == []
--- a/tests/test_flood_loopback.py
+++ b/tests/test_flood_loopback.py
@@ -3,7 +3,13 @@
 import random
 import threading
 
-from standins.admission_history import against_level, began_too_late, chosen_differently, refused_wrongly
+from standins.admission_history import (
+    accepted_under,
+    against_level,
+    began_too_late,
+    chosen_differently,
+    refused_wrongly,
+)
 from standins.history import done_again, ran_twice
 from standins.site import KIND, Site, await_state
 from standins.state_service import StateService
@@ -60,7 +66,7 @@
         flows = {s.job["id"]: flow_of(s.job) for s in submissions}
         assert any(answer.status == 429 for answer in told), "it was a flood"
         assert against_level(changes, flows) == [] and refused_wrongly(changes, told, flows) == []
-        assert chosen_differently(told) == []
+        assert chosen_differently([*told, *accepted_under(changes)]) == []
         history = list(site.fleet.history)
         assert ran_twice(history) == [] and done_again(history) == []
         served = {(s.job["lane"], s.job["crew"]) for s in accepted}
