--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -118,6 +118,13 @@
     assert rates[green] == pytest.approx(2.0), "a team within its guarantee goes before others' urgent jobs"
 
 
+def test_a_flood_of_one_team_in_the_urgent_class_takes_nothing_from_others_there():
+    red, blue, green = (Flow(2, "build", team) for team in ("red", "blue", "green"))
+    rates = divided({red: 100.0, blue: 1.0, green: 0.5, SWEEP: 5.0}, guarantees={"red": 5.0, "blue": 5.0})
+    assert rates[blue] == pytest.approx(1.0) and rates[green] == pytest.approx(0.5)
+    assert rates[SWEEP] == pytest.approx(0.5) and rates[red] == pytest.approx(8.0, abs=0.01)
+
+
 FLOWS = st.builds(Flow, st.integers(0, 3), st.sampled_from("abc"), st.sampled_from(["red", "blue", "green"]))
 
 
