A controller that can't listen logs it and ends with status 3; its site reports it

Seen: a test over loopback waited 120 s for a controller that had ended at its start; its log held a traceback. Cause: nothing looked at the controllers' processes, and the server's OSError was not caught. Change: HttpServer raises ListenError, which names server and address; the command line logs it and returns 3. A site's waits and submissions raise ControllerEndedError, with the end of the log, as soon as a controller that was not killed has ended.

--- a/bayford/cli.py
+++ b/bayford/cli.py
@@ -21,6 +21,7 @@
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 EXIT_UNREADABLE = 1  # the data in the state service can't be read
 EXIT_BAD_SETTINGS = 2
+EXIT_CANNOT_LISTEN = 3
 
 
 def _configure_logging() -> None:
@@ -148,8 +149,17 @@
             f"{args.config}: good; {len(settings.peers) + 1} controllers, {len(settings.facts.teams)} teams"
         )
         return 0
+    return _serve(settings, policy)
+
+
+def _serve(settings: Settings, policy: Policy) -> int:
+    """Run the controller. Returns the exit status only if it can't listen on one of its addresses."""
     from bayford.serve import serve  # imports the controller, which the other commands do not need
+    from bayford.transport.http_server import ListenError
 
     faulthandler.enable()
-    serve(settings, policy)
-    return 0
+    try:
+        serve(settings, policy)
+    except ListenError as error:
+        log.error("%s", error)
+    return EXIT_CANNOT_LISTEN
--- a/bayford/serve.py
+++ b/bayford/serve.py
@@ -105,7 +105,7 @@
 
 
 def serve(settings: Settings, policy: Policy) -> None:
-    """Run a controller until the process is killed."""
+    """Run a controller until the process is killed. Raises `ListenError` if an address can't be bound."""
     threading.stack_size(THREAD_STACK_BYTES)
     incarnation = f"{random.SystemRandom().getrandbits(48):012x}"
     log.info("starting: member=%s version=%s incarnation=%s", settings.member, __version__, incarnation)
--- a/bayford/transport/http_server.py
+++ b/bayford/transport/http_server.py
@@ -75,6 +75,10 @@
         self.status = status
 
 
+class ListenError(Exception):
+    """A server cannot listen on its address; the message names both."""
+
+
 class Connection(BaseHTTPRequestHandler):
     """One connection, served by its own thread.
 
@@ -207,7 +211,7 @@
 
     def __init__(self, host: str, port: int, handle: Handle, max_connections: int, name: str) -> None:
         """`port`: 0 selects a free port. `handle`: called concurrently by many threads. `name`: used in logs.
-        OSError: the address can't be bound."""
+        ListenError: the address can't be bound, for example because another process has it."""
         self._handle = handle
         self._max_connections = max_connections
         self._open_connections = 0
@@ -215,8 +219,12 @@
         self._name = name
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.bind((host, port))
-        self._socket.listen(BACKLOG)
+        try:
+            self._socket.bind((host, port))
+            self._socket.listen(BACKLOG)
+        except OSError as error:
+            self._socket.close()
+            raise ListenError(f"cannot listen: server={name} address={host}:{port} error={error}") from error
         self.port: int = self._socket.getsockname()[1]
 
     @property
--- a/standins/controllers.py
+++ b/standins/controllers.py
@@ -24,6 +24,13 @@
     return ports
 
 
+LOG_TAIL_LINES = 20  # of the log of a controller that has ended, in the error
+
+
+class ControllerEndedError(Exception):
+    """A controller has ended although nobody killed it; the message has the end of its log."""
+
+
 class Controllers:
     """The controller processes of one site, each of which can be killed and restarted."""
 
@@ -69,11 +76,24 @@
         process.kill()
         process.wait()
 
+    def all_addresses(self) -> list[str]:
+        """Return the addresses that the controllers listen on, for users and workers and for each other."""
+        return [*self.front_addresses.values(), *self._mesh_addresses.values()]
+
     def close(self) -> None:
         """Kill all running controllers."""
         for name in list(self._running):
             self.kill(name)
 
+    def raise_if_ended(self) -> None:
+        """Raise `ControllerEndedError` if a controller that was not killed has ended."""
+        for name, process in list(self._running.items()):
+            status = process.poll()
+            # `kill`, in another thread, removes a process before it ends it.
+            if status is not None and self._running.get(name) is process:
+                log_tail = "\n".join(self.log(name).splitlines()[-LOG_TAIL_LINES:])
+                raise ControllerEndedError(f"controller {name} ended with status {status}:\n{log_tail}")
+
     def log(self, name: str) -> str:
         """Return the text that a controller has logged."""
         return (self._folder / f"{name}.log").read_text()
@@ -101,10 +121,12 @@
     def submit(self, job: dict[str, Any], timeout_s: float = 60.0) -> str:
         """Submit a job to each running controller in turn until one accepts it; return that one's name.
 
-        Raises `TimeoutError` if none has accepted the job within `timeout_s`.
+        Raises `TimeoutError` if none has accepted the job within `timeout_s`, `ControllerEndedError` if a
+        controller has ended by itself.
         """
         deadline = time.monotonic() + timeout_s
         while time.monotonic() < deadline:
+            self.raise_if_ended()
             for name in list(self._running):
                 status, _ = self.send_request(name, "POST", "/api/jobs", job)
                 if status in (200, 201):
--- a/standins/site.py
+++ b/standins/site.py
@@ -47,6 +47,10 @@
 """
 
 
+# The sites whose controllers `await_state` watches: those between `__enter__` and `__exit__`.
+_open_sites: list["Site"] = []
+
+
 class Site:
     """The services, workers and controllers of one site; the context manager starts and stops them."""
 
@@ -73,6 +77,7 @@
         self.cloud = Cloud(self.fleet, [KIND], ZONES, capacity)
 
     def __enter__(self) -> Self:
+        _open_sites.append(self)
         for name in self.controllers.front_addresses:
             self.start(name)
         return self
@@ -80,6 +85,7 @@
     def __exit__(
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
+        _open_sites.remove(self)
         self.controllers.close()
         self.fleet.close()
         self.cloud.close()
@@ -137,10 +143,13 @@
 def await_state(condition: Callable[[], bool], description: str, timeout_s: float = 120.0) -> None:
     """Wait until `condition` returns true; raises `TimeoutError` after `timeout_s`.
 
-    The generous default only ends a test that hangs; it does not assert how long the wait may take.
+    The generous default only ends a test that hangs; it does not assert how long the wait may take. Raises
+    `ControllerEndedError` as soon as a controller of an open site has ended by itself.
     """
     deadline = time.monotonic() + timeout_s
     while not condition():
+        for site in _open_sites:
+            site.controllers.raise_if_ended()
         if time.monotonic() > deadline:
             raise TimeoutError(f"timed out after {timeout_s:.0f} s waiting for: {description}")
         time.sleep(0.1)
