Each stand-in site holds a block of ports of its own

Seen: 1 of 24 copies of the zone test over loopback, 12 at once, failed: n0 ended with 'Address already in use', and its users submitted to the n0 of another copy. Cause: free_ports released the ports before the controllers bound them. Change: standins.ports.PortBlock holds one port of a block for the site's lifetime and gives out the others.

--- a/standins/controllers.py
+++ b/standins/controllers.py
@@ -3,25 +3,15 @@
 import http.client
 import json
 import os
-import socket
 import subprocess
 import sys
 import time
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).resolve().parent.parent
-
+from standins.ports import PortBlock
 
-def free_ports(count: int) -> list[int]:
-    """Return `count` distinct loopback ports that were free at the time of the call."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+ROOT = Path(__file__).resolve().parent.parent
 
 
 LOG_TAIL_LINES = 20  # of the log of a controller that has ended, in the error
@@ -41,7 +31,8 @@
         self._facts = facts
         self._script = folder / "policy.star"
         self._script.write_text(script)
-        ports = free_ports(2 * len(zones))
+        self._port_block = PortBlock(2 * len(zones))
+        ports = self._port_block.ports
         self.front_addresses = {name: f"127.0.0.1:{ports[2 * n]}" for n, name in enumerate(zones)}
         self._mesh_addresses = {name: f"127.0.0.1:{ports[2 * n + 1]}" for n, name in enumerate(zones)}
         self._running: dict[str, subprocess.Popen[bytes]] = {}
@@ -81,9 +72,10 @@
         return [*self.front_addresses.values(), *self._mesh_addresses.values()]
 
     def close(self) -> None:
-        """Kill all running controllers."""
+        """Kill all running controllers and release their ports."""
         for name in list(self._running):
             self.kill(name)
+        self._port_block.close()
 
     def raise_if_ended(self) -> None:
         """Raise `ControllerEndedError` if a controller that was not killed has ended."""
