A new leader judges a zone by the machines in the cloud's list, too

Seen: a zone is cut off, leadership changes before the loss is noticed, and the loss is never recorded: the zone stays up, open for placements and launches, and nobody learns which tasks were there. Cause: a leader counted the machines of a zone that had sent it a heartbeat or had open tasks. Of a zone without tasks that it never heard from it knew none, so that there was nothing to judge. Evidence: on the fakes, a failover or a transfer 0.5 to 4 s into the cut, all work in the other zone or none: up for 120 s, no record, the silent machines deleted one by one as 'never came up'. Change: a machine that the cloud lists as running counts. A booting one does not, as before.

--- a/bayford/coordination/leader/autoscaler.py
+++ b/bayford/coordination/leader/autoscaler.py
@@ -10,7 +10,7 @@
 from bayford.coordination.leader.scheduling_round import SchedulingRound
 from bayford.coordination.leader.service_capacity import ServiceCapacity
 from bayford.coordination.leader.waiting_demand import WaitingDemand, backlog_s
-from bayford.protocol.cloud_api import ListedMachine
+from bayford.protocol.cloud_api import FAILED, RUNNING, ListedMachine
 from bayford.scheduling import scaling
 from bayford.scheduling.scaling import Demand, LaunchPlan, MachinePool, PooledMachine, ServiceGroup
 
@@ -192,7 +192,9 @@
             machine.spot = entry.spot
         if machine.type is None:
             self._state.set_machine_type(machine, entry.type)
-        if entry.phase == "failed":
+        if entry.phase == RUNNING:
+            machine.listed_running = True
+        elif entry.phase == FAILED:
             machine.quarantined = machine.lost = True
 
     def on_launched(self, request: LaunchRequest, names: list[str], began: float) -> None:
--- a/bayford/coordination/leader/zone_monitor.py
+++ b/bayford/coordination/leader/zone_monitor.py
@@ -144,9 +144,10 @@
         silent_after_s = MISSED_HEARTBEATS * self.times.heartbeat_interval_s
         facts_by_zone: dict[int, ZoneFacts] = {}
         for machine in self._state.machines.values():
-            # A new leader has received no heartbeat from machines of a zone that was lost before its term:
-            # such machines are counted if the task log has open tasks on them.
-            if machine.zone is None or not (machine.registered or machine.open):
+            # A new leader has received no heartbeat from machines of a zone that fell silent before its term.
+            # They count if the task log has open tasks on them or the cloud's list shows them as running.
+            is_known_to_run = machine.registered or machine.open or machine.listed_running
+            if machine.zone is None or not is_known_to_run:
                 continue
             since = self.statuses[machine.zone].since if machine.zone in self.statuses else 0.0
             alive = now - machine.last_heartbeat_at <= silent_after_s
--- a/bayford/protocol/cloud_api.py
+++ b/bayford/protocol/cloud_api.py
@@ -26,6 +26,10 @@
     """The cloud has no machine of the requested type, zone and purchase model (spot or on-demand)."""
 
 
+# Phases of a listed machine that is not booting. A failed one has stopped by itself.
+RUNNING, FAILED = "running", "failed"
+
+
 class ListedMachine(msgspec.Struct):
     """One machine in the cloud's list. `age_s`: seconds from its launch request to the time of the list."""
 
--- a/bayford/recovery/zone_health.py
+++ b/bayford/recovery/zone_health.py
@@ -35,7 +35,8 @@
 class ZoneFacts:
     """Counts of the machines of one zone at one time."""
 
-    machines: int  # that have sent heartbeats or have open placements, and are not deleted
+    # That have sent heartbeats, have open placements or are listed as running, and are not deleted.
+    machines: int
     alive: int  # of `machines`: those with a recent heartbeat, sent directly or through a relay
     answering: int  # of `alive`: those that answered this leader directly since the last transition
 
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -249,6 +249,7 @@
     relay: str = ""  # controller that relayed its last heartbeat, empty if the heartbeat came directly
     launched_at: float = 0.0
     listed: bool = False  # the cloud's list has contained it
+    listed_running: bool = False  # the cloud's list has contained it as running, not only as booting
     missing_from_lists: int = 0  # consecutive lists of the cloud without it, after it had been listed
     reclaim_at: float | None = None  # when the cloud reclaims it, None without a reclaim notice
     quarantined: bool = False  # no new tasks are placed on it
--- /dev/null
+++ b/tests/test_zone_leader_changes.py
@@ -0,0 +1,79 @@
+"""The loss and the return of a zone while the leader changes, by a failover or by a transfer."""
+
+from collections.abc import Callable
+
+import pytest
+from cluster_helpers import leader_of
+from fakes.cluster import Cluster
+from fakes.scenarios import run_for
+from zone_helpers import (
+    cut_zone_off,
+    fill_with_one_job,
+    recovery_cluster,
+    stored_zone_record,
+    zone_state,
+)
+
+LOST_AFTER_S = 14.0  # a lease and a heartbeat interval of the simulated settings
+LEASE_S = 12.0
+SILENT_AFTER_S = 5.0  # 2.5 heartbeat intervals
+
+LeaderChange = Callable[[Cluster], None]
+
+
+def fail_over(cluster: Cluster) -> None:
+    """End the leader, wait for another one and restart the first."""
+    ended = cluster.require_leader()
+    del cluster.nodes[ended]
+    while cluster.leader() is None:
+        run_for(cluster, 0.5)
+    cluster.boot(ended)
+
+
+def transfer(cluster: Cluster) -> None:
+    """Let the leader write a leadership record that names another controller."""
+    old_leader = cluster.require_leader()
+    successor = next(name for name in cluster.nodes if name != old_leader)
+    assert cluster.nodes[old_leader].membership.acquire_leadership(successor)
+    run_for(cluster, 0.5)
+    assert cluster.require_leader() == successor
+
+
+change_leader = pytest.mark.parametrize("change", [fail_over, transfer])
+
+
+def run_until_state(cluster: Cluster, state: str, timeout_s: float = 120.0) -> None:
+    """Advance the cluster until the leader has the zone in this state."""
+    deadline = cluster.clock.now + timeout_s
+    while zone_state(cluster) != state:
+        run_for(cluster, 0.5)
+        assert cluster.clock.now < deadline, f"the zone is {zone_state(cluster)}, not {state}"
+
+
+def run_north_only(cluster: Cluster) -> None:
+    cluster.submit("n0", cluster.job(1, crew="open", parts=4, yard="north", guess_s=900.0))
+    run_for(cluster, 5.0)
+
+
+def run_nothing(cluster: Cluster) -> None:
+    pass
+
+
+@change_leader
+@pytest.mark.parametrize("fill", [fill_with_one_job, run_north_only, run_nothing])
+@pytest.mark.parametrize("after_s", [0.5, 3.0])
+def test_a_leader_that_never_heard_from_a_zone_without_tasks_records_its_loss(
+    change: LeaderChange, fill: Callable[[Cluster], object], after_s: float
+) -> None:
+    """Guards against a loss that no leader recorded, since the new one knew no machine of the zone."""
+    cluster = recovery_cluster()
+    fill(cluster)
+    cut_zone_off(cluster)
+    run_for(cluster, after_s)
+    assert zone_state(cluster) == "up", "the zone falls silent before the first leader can notice"
+    change(cluster)
+    run_until_state(cluster, "lost", timeout_s=LEASE_S + SILENT_AFTER_S + LOST_AFTER_S + 1.0)
+    run_for(cluster, 2.0)
+    assert stored_zone_record(cluster).state == "lost"
+    assert len(stored_zone_record(cluster).losses) == 1
+    assert leader_of(cluster).scheduler.state.closed_zones
