Only machines heard in this term count as alive when a zone is judged

Seen: leadership changes while a zone is suspect, and the new leader takes it for up at once; the suspicion begins anew a few seconds later, so that the zone is open meanwhile and its loss is recorded late. With each further change of the leader it is put off again. Cause: a machine restored from the task log or found in the cloud's list begins with the present as the time of its last heartbeat, and counted as alive for 2.5 intervals. A leader also counted the time before its term as time in which it had received heartbeats, so that nothing but this protected a zone whose workers need a moment to find the new leader. Evidence: on the fakes, a change 8 s into the cut with work in the zone: suspect at 7 s, up at 9 s, suspect at 14 s. Change: alive means a heartbeat in this term; a leader judges zones from a lease after the begin of its term, as docs/zone-recovery.md says.

--- a/bayford/coordination/leader/scaling_loop.py
+++ b/bayford/coordination/leader/scaling_loop.py
@@ -75,10 +75,12 @@
 
     def monitor_zones(self) -> None:
         """Updates the states of the zones and writes the records that have changed."""
+        # A follower receives no heartbeats, however long its process has run.
+        listening_since = max(self._listening_since(), self._scheduler.leader_since)
         facts = LeadershipFacts(
             self._verifier.is_verified_leader(),
             self._connectivity.is_store_reachable(),
-            self._clock() - self._listening_since(),
+            self._clock() - listening_since,
         )
         puts = self._scheduler.monitor_zones(facts, self._peers.reachability_by_zone())
         if not puts:
--- a/bayford/coordination/leader/zone_monitor.py
+++ b/bayford/coordination/leader/zone_monitor.py
@@ -150,7 +150,8 @@
             if machine.zone is None or not is_known_to_run:
                 continue
             since = self.statuses[machine.zone].since if machine.zone in self.statuses else 0.0
-            alive = now - machine.last_heartbeat_at <= silent_after_s
+            # Until the first heartbeat, `last_heartbeat_at` is when this leader learned of the machine.
+            alive = machine.registered and now - machine.last_heartbeat_at <= silent_after_s
             answering = alive and machine.token_acknowledged and machine.last_answered_at >= since
             facts = facts_by_zone.get(machine.zone, NO_MACHINES)
             facts_by_zone[machine.zone] = ZoneFacts(
--- a/bayford/recovery/zone_health.py
+++ b/bayford/recovery/zone_health.py
@@ -37,7 +37,7 @@
 
     # That have sent heartbeats, have open placements or are listed as running, and are not deleted.
     machines: int
-    alive: int  # of `machines`: those with a recent heartbeat, sent directly or through a relay
+    alive: int  # of `machines`: those with a recent heartbeat to this leader, sent directly or by a relay
     answering: int  # of `alive`: those that answered this leader directly since the last transition
 
 
@@ -47,7 +47,7 @@
 
     verified: bool  # it has read its leadership record recently enough to be sure of its leadership
     store_reachable: bool  # the state service answers this controller
-    listening_s: float  # time for which it has received heartbeats without interruption
+    listening_s: float  # time for which it has received heartbeats without interruption, in this term
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_zone_leader_changes.py
+++ b/tests/test_zone_leader_changes.py
@@ -9,11 +9,14 @@
 from zone_helpers import (
     cut_zone_off,
     fill_with_one_job,
+    reconnect_zones,
     recovery_cluster,
     stored_zone_record,
     zone_state,
 )
 
+from bayford.recovery import zone_record
+
 LOST_AFTER_S = 14.0  # a lease and a heartbeat interval of the simulated settings
 LEASE_S = 12.0
 SILENT_AFTER_S = 5.0  # 2.5 heartbeat intervals
@@ -77,3 +80,36 @@
     assert stored_zone_record(cluster).state == "lost"
     assert len(stored_zone_record(cluster).losses) == 1
     assert leader_of(cluster).scheduler.state.closed_zones
+
+
+@change_leader
+@pytest.mark.parametrize("fill", [fill_with_one_job, run_nothing])
+def test_a_new_leader_does_not_take_a_suspect_zone_for_up_before_it_hears_from_it(
+    change: LeaderChange, fill: Callable[[Cluster], object]
+) -> None:
+    """Guards against a suspicion that began anew, as machines restored from the records counted as alive."""
+    cluster = recovery_cluster()
+    fill(cluster)
+    cut_zone_off(cluster)
+    run_until_state(cluster, "suspect")
+    run_for(cluster, 2.0)
+    change(cluster)
+    while zone_state(cluster) != "lost":
+        assert zone_state(cluster) == "suspect"
+        assert leader_of(cluster).scheduler.state.closed_zones
+        run_for(cluster, 0.5)
+
+
+@change_leader
+def test_a_new_leader_does_not_suspect_a_zone_whose_workers_find_it_late(change: LeaderChange) -> None:
+    """Guards against a leader that counted the time before its term, in which it received no heartbeats."""
+    cluster = recovery_cluster()
+    cut_zone_off(cluster)
+    change(cluster)
+    for _ in range(int((LEASE_S - 1.0) * 2)):
+        assert zone_state(cluster) == "up"
+        run_for(cluster, 0.5)
+    reconnect_zones(cluster)
+    run_for(cluster, 20.0)
+    assert zone_state(cluster) == "up"
+    assert zone_record.key("south") not in cluster.store.rows, "the state has never changed"
