The time of suspicion passes to the next leader

Seen: leadership changes while a zone is suspect, and the new leader declares it lost up to 12.5 s before its machines' leases have ended; the zones report shows a suspicion in 1970, or that of an earlier loss. Cause: the record has the time of suspicion in its losses alone; without one, 0 was restored. A flap was not counted if the restored time was below 0 on the new leader's clock, which begins when its machine starts. Evidence: on the fakes, lost 1.5 s after the suspicion, suspected=1700000000.0 in the record (the fakes' clock begins there), or 32 s too early after an earlier loss. Change: of a suspect zone, 'since' in the record is the time of suspicion. Never is NEVER, not 0. The stored form is as it was.

--- a/bayford/coordination/leader/zone_monitor.py
+++ b/bayford/coordination/leader/zone_monitor.py
@@ -9,6 +9,7 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from bayford.clock import NEVER
 from bayford.coordination.leader.leader_events import LeaderListener
 from bayford.coordination.leader.leader_state import LeaderState
 from bayford.recovery import zone_record
@@ -94,15 +95,18 @@
         Raises ValueError if the stored state is unknown.
         """
         state = self._state
-        offset_s = state.clock() - state.wall()  # converts times of day to times of this clock
-        loss = record.losses[-1] if record.losses else None
-        return ZoneStatus(
-            state=ZoneState(record.state),
-            since=record.since + offset_s,
-            suspected=0.0 if loss is None else loss.suspected + offset_s,
-            lost=0.0 if loss is None else loss.lost + offset_s,
-            flaps=record.flaps,
-        )
+        now = state.clock()
+        offset_s = now - state.wall()  # converts times of day to times of this clock
+        zone_state = ZoneState(record.state)
+        since = record.since + offset_s
+        # Only losses store the time of suspicion. A suspect zone has not been lost since, and a zone with a
+        # record but without losses has been suspect at some time.
+        if zone_state is ZoneState.SUSPECT or not record.losses:
+            suspected = since
+        else:
+            suspected = record.losses[-1].suspected + offset_s
+        lost = record.losses[-1].lost + offset_s if record.losses else NEVER
+        return ZoneStatus(zone_state, since, suspected, lost, record.flaps)
 
     # -- states of zones -------------------------------------------------------------------------------
 
--- a/bayford/recovery/zone_health.py
+++ b/bayford/recovery/zone_health.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
 
+from bayford.clock import NEVER
+
 MAX_SETTLE_DOUBLINGS = 4
 
 
@@ -85,8 +87,8 @@
 
     state: ZoneState = ZoneState.UP
     since: float = 0.0  # time of the last transition
-    suspected: float = 0.0  # when the zone last became suspect
-    lost: float = 0.0  # when the zone was last lost
+    suspected: float = NEVER  # when the zone last became suspect
+    lost: float = NEVER  # when the zone was last lost
     flaps: int = 0  # times that it fell silent again while returning or shortly afterwards
     unknown_reason: str = ""  # why the zone cannot be judged now; empty if it can
 
@@ -128,7 +130,7 @@
         or silent_machines < times.silent_share * facts.machines
     ):
         return status
-    has_flapped = status.suspected > 0 and now - status.since < times.flap_memory_s
+    has_flapped = status.suspected > NEVER and now - status.since < times.flap_memory_s
     return replace(
         status,
         state=ZoneState.SUSPECT,
--- a/tests/test_zone_health.py
+++ b/tests/test_zone_health.py
@@ -124,3 +124,12 @@
     no_machines = ZoneFacts(0, 0, 0)
     assert advance(status, no_machines, "", 11.0, TIMES).state is ZoneState.LOST
     assert advance(status, no_machines, "", 12.0, TIMES).state is ZoneState.RETURNING
+
+
+def test_a_flap_counts_also_if_the_suspicion_was_before_the_clock_of_this_machine_began() -> None:
+    """Guards against a flap that was not counted by a leader whose machine had started minutes ago."""
+    status = ZoneStatus(ZoneState.UP, since=-30.0, suspected=-60.0)
+    suspect = advance(status, NONE_HEARD, "", 10.0, TIMES)
+    assert (suspect.state, suspect.flaps) == (ZoneState.SUSPECT, 1)
+    never_suspected = advance(ZoneStatus(since=0.0), NONE_HEARD, "", 10.0, TIMES)
+    assert (never_suspected.state, never_suspected.flaps) == (ZoneState.SUSPECT, 0)
--- a/tests/test_zone_leader_changes.py
+++ b/tests/test_zone_leader_changes.py
@@ -113,3 +113,27 @@
     run_for(cluster, 20.0)
     assert zone_state(cluster) == "up"
     assert zone_record.key("south") not in cluster.store.rows, "the state has never changed"
+
+
+@change_leader
+@pytest.mark.parametrize("has_old_loss", [False, True])
+def test_a_loss_under_a_new_leader_counts_from_the_recorded_suspicion(
+    change: LeaderChange, has_old_loss: bool
+) -> None:
+    """Guards against a zone that was lost at once, with the suspicion of an earlier loss or none at all."""
+    cluster = recovery_cluster()
+    if has_old_loss:
+        cut_zone_off(cluster)
+        run_until_state(cluster, "lost")
+        reconnect_zones(cluster)
+        run_until_state(cluster, "up")
+    cut_zone_off(cluster)
+    run_until_state(cluster, "suspect")
+    suspected = cluster.clock.wall()
+    change(cluster)
+    run_until_state(cluster, "lost")
+    assert cluster.clock.wall() - suspected >= LOST_AFTER_S
+    run_for(cluster, 2.0)
+    loss = stored_zone_record(cluster).losses[-1]
+    assert loss.suspected == pytest.approx(suspected, abs=1.0)
+    assert loss.lost - loss.suspected >= LOST_AFTER_S
