A relay sends workers to a new leader instead of answering them for the rest of its period

Seen: three to six seconds after a failover the new leader hands over ('transferring leadership: … machines_relayed=12 machines_direct=0'), although the workers can reach it: a second change of the leader in one failover, without starts meanwhile. Cause: the workers of a leader that ended turn to the next controller, which answers them for 10 s, or 30 s after a redirect. It went on with that after another controller had become leader, so that nothing sent the workers there; a lease (6 s in the test) after its election the leader transferred leadership to the relay. Change: the relay period and the redirect name the leader (fencing token) that the worker could not reach. Under another one the worker is redirected, unless the relay can't reach that leader either; one that has just come back from an earlier leader gets one answer first, which renews its lease. A line 'relaying: …' every 15 s says how many machines are relayed and why. A leader that workers truly can't reach still hands over (the other tests of test_leadership_transfer.py). Test: test_workers_relayed_since_the_previous_leader_ended_report_to_the_next_one; before, they stay at n2.

--- a/bayford/coordination/status_log.py
+++ b/bayford/coordination/status_log.py
@@ -1,9 +1,10 @@
 """Logs periodically which jobs wait and why, and how many requests this controller sends to the store."""
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from bayford.coordination.leader.scheduler import Scheduler
+from bayford.coordination.workers.relay import RelayReason
 from bayford.storage.counting_store import CountingStore
 
 log = logging.getLogger(__name__)
@@ -19,12 +20,14 @@
         scheduler: Scheduler,
         stores: Iterable[CountingStore],
         refused_submissions: Callable[[], int],
+        relayed_machines: Callable[[], Mapping[RelayReason, int]],
     ) -> None:
         """`refused_submissions`: returns how many submissions this controller's admission control has refused
-        so far."""
+        so far. `relayed_machines`: returns the number of machines that this controller relays, by reason."""
         self._scheduler = scheduler
         self._stores = tuple(stores)
         self._refused_submissions = refused_submissions
+        self._relayed_machines = relayed_machines
 
     def step(self) -> float:
         """Log the status once. Returns the seconds until the next report."""
@@ -43,4 +46,7 @@
         refused = self._refused_submissions()
         if refused:
             log.info("submissions refused for overload: count=%d", refused)
+        relayed = self._relayed_machines()
+        if relayed:
+            log.info("relaying: %s", " ".join(f"{reason}={relayed.get(reason, 0)}" for reason in RelayReason))
         return PERIOD_S
--- a/bayford/coordination/workers/heartbeat_service.py
+++ b/bayford/coordination/workers/heartbeat_service.py
@@ -132,7 +132,9 @@
         has_lost_leader = (
             heartbeat.fencing_token == record.fencing_token and heartbeat.sequence > MAX_FIRST_SEQUENCE
         )
-        if not self._relay.should_answer(heartbeat.machine, leader_unreachable, has_lost_leader):
+        if not self._relay.should_answer(
+            heartbeat.machine, record.fencing_token, leader_unreachable, has_lost_leader
+        ):
             return record.leader
         if not self._connectivity.is_store_reachable():
             # Without the store this controller can neither pass the heartbeat on nor read the commands, and
--- a/bayford/coordination/workers/relay.py
+++ b/bayford/coordination/workers/relay.py
@@ -7,8 +7,10 @@
 placements are the commands. The relay makes no scheduling decisions.
 """
 
+import enum
 import logging
 import threading
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -21,8 +23,6 @@
 
 log = logging.getLogger(__name__)
 
-RELAY_DURATION_S = 30.0  # how long this controller answers a worker that could not reach the leader
-FIRST_RELAY_DURATION_S = 10.0  # same for one that has just lost the leader, which it then tries again
 # A worker that returns this soon after a redirect could not reach the leader. A return takes at least 1 s.
 MIN_RETURN_S, MAX_RETURN_S = 0.5, 20.0
 RELAY_COOLDOWN_S = 60.0  # minimum time from the end of a relay until loss of the leader alone starts another
@@ -34,6 +34,47 @@
 ENVELOPE_BYTES = 64  # part of a value's size limit that is left for the fields around the packed heartbeats
 
 
+class RelayReason(enum.StrEnum):
+    """Why this controller answers a machine in the leader's place. The values are in the log."""
+
+    LOST_LEADER = "lost_leader"  # the leader has answered it before, and it sends its heartbeat here
+    LEADER_UNREACHABLE = "leader_unreachable"  # this controller can't reach the leader either
+    RETURNED = "returned"  # it was redirected to the leader and came back
+    LEADER_CHANGED = "leader_changed"  # it was redirected to an earlier leader and came back
+
+
+# How long this controller answers a machine before it redirects it to the leader again.
+DURATIONS_S = {
+    RelayReason.LOST_LEADER: 10.0,
+    RelayReason.LEADER_UNREACHABLE: 10.0,
+    RelayReason.RETURNED: 30.0,
+    # One answer, which renews its lease before it tries the present leader. Workers send at most two
+    # heartbeats a second.
+    RelayReason.LEADER_CHANGED: 0.4,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class _RelayPeriod:
+    """The time in which this controller answers one machine."""
+
+    until: float  # steady clock
+    fencing_token: int  # of the leader that the machine could not reach
+    reason: RelayReason
+
+    def is_current(self, now: float, fencing_token: int, leader_unreachable: bool) -> bool:
+        """Returns whether it goes on under the leader with this token."""
+        return self.until > now and (self.fencing_token == fencing_token or leader_unreachable)
+
+
+@dataclass(frozen=True, slots=True)
+class _Redirect:
+    """A redirect of one machine to the leader."""
+
+    at: float  # steady clock
+    fencing_token: int  # of the leader
+
+
 @dataclass(frozen=True, slots=True)
 class _ReceivedHeartbeat:
     received_at: float  # steady clock
@@ -58,8 +99,8 @@
         self._wall = wall
         self._lock = threading.Lock()  # guards all fields below except `_key_count`
         self._latest: dict[str, tuple[int, int]] = {}  # by machine: highest epoch and sequence received here
-        self._redirected_at: dict[str, float] = {}  # by machine, steady clock
-        self._relayed_until: dict[str, float] = {}  # by machine, steady clock
+        self._redirects: dict[str, _Redirect] = {}  # by machine: the last one, until it returns
+        self._relayed_until: dict[str, _RelayPeriod] = {}  # by machine
         self._heartbeats: dict[str, _ReceivedHeartbeat] = {}  # by machine: the newest one
         self._changed = False  # whether to publish after the period for changed heartbeats
         self._published_at = NEVER
@@ -80,33 +121,63 @@
             self._latest[heartbeat.machine] = order
             return False
 
-    def should_answer(self, machine: str, leader_unreachable: bool, has_lost_leader: bool) -> bool:
+    def should_answer(
+        self, machine: str, fencing_token: int, leader_unreachable: bool, has_lost_leader: bool
+    ) -> bool:
         """Returns whether to answer this machine here. If not, records that it is redirected to the leader.
 
         A machine that returns soon after a redirect could not reach the leader. A machine that already has
         the leader's token and sends its heartbeat here has just lost the leader (`has_lost_leader`). It is
         relayed at once, because a short lease leaves no time for a redirect to the leader first.
+
+        `fencing_token`: of the present leader. A machine that could not reach an earlier one is redirected to
+        the present one, unless this controller can't reach it either (`leader_unreachable`).
         """
         now = self._clock()
         with self._lock:
-            until = self._relayed_until.get(machine, NEVER)
-            if until > now:
-                return True
-            redirected_at = self._redirected_at.pop(machine, None)
-            if redirected_at is not None and MIN_RETURN_S < now - redirected_at < MAX_RETURN_S:
-                self._relayed_until[machine] = now + RELAY_DURATION_S
+            period = self._relayed_until.get(machine)
+            if period is not None and period.is_current(now, fencing_token, leader_unreachable):
                 return True
-            if leader_unreachable or (has_lost_leader and now - until > RELAY_COOLDOWN_S):
-                self._relayed_until[machine] = now + FIRST_RELAY_DURATION_S
+            reason = self._find_reason(machine, now, fencing_token, leader_unreachable, has_lost_leader)
+            if reason is not None:
+                until = now + DURATIONS_S[reason]
+                self._relayed_until[machine] = _RelayPeriod(until, fencing_token, reason)
                 return True
-            self._redirected_at[machine] = now
-            if len(self._redirected_at) > MAX_REMEMBERED_ENTRIES:
-                self._redirected_at = {m: t for m, t in self._redirected_at.items() if now - t < MAX_RETURN_S}
-                self._relayed_until = {
-                    m: t for m, t in self._relayed_until.items() if now - t < RELAY_COOLDOWN_S
-                }
+            self._redirects[machine] = _Redirect(now, fencing_token)
+            if len(self._redirects) > MAX_REMEMBERED_ENTRIES:
+                self._forget_old_entries(now)
             return False
 
+    def _find_reason(
+        self, machine: str, now: float, fencing_token: int, leader_unreachable: bool, has_lost_leader: bool
+    ) -> RelayReason | None:
+        """Returns why to begin to relay the machine, or None. The lock is held."""
+        redirect = self._redirects.pop(machine, None)
+        if redirect is not None and MIN_RETURN_S < now - redirect.at < MAX_RETURN_S:
+            is_same_leader = redirect.fencing_token == fencing_token
+            return RelayReason.RETURNED if is_same_leader else RelayReason.LEADER_CHANGED
+        if leader_unreachable:
+            return RelayReason.LEADER_UNREACHABLE
+        period = self._relayed_until.get(machine)
+        if has_lost_leader and (period is None or now - period.until > RELAY_COOLDOWN_S):
+            return RelayReason.LOST_LEADER
+        return None
+
+    def _forget_old_entries(self, now: float) -> None:
+        """Removes the redirects and periods that no longer matter. The lock is held."""
+        self._redirects = {
+            m: redirect for m, redirect in self._redirects.items() if now - redirect.at < MAX_RETURN_S
+        }
+        self._relayed_until = {
+            m: period for m, period in self._relayed_until.items() if now - period.until < RELAY_COOLDOWN_S
+        }
+
+    def counts(self) -> dict[RelayReason, int]:
+        """Returns the number of machines that are relayed now, by reason, for the log."""
+        now = self._clock()
+        with self._lock:
+            return Counter(period.reason for period in self._relayed_until.values() if period.until > now)
+
     def store_heartbeat(self, heartbeat: workers.Heartbeat) -> None:
         """Store the heartbeat of a relayed machine for the leader, unless a newer one is stored."""
         with self._lock:
--- a/tests/test_leadership_transfer.py
+++ b/tests/test_leadership_transfer.py
@@ -207,3 +207,41 @@
     assert not any(is_next_controller_in_same_zone(name, {"n0": "a", "n1": "a"}) for name in ("n0", "n1")), (
         "with one zone it makes no difference"
     )
+
+
+def test_workers_relayed_since_the_previous_leader_ended_report_to_the_next_one() -> None:
+    """Guards against a transfer from a leader that the workers could reach but were not redirected to."""
+    cluster, leader = busy_cluster()
+    while leader != "n1":  # its workers turn to n2, and n0 leads after it
+        successor = "n1"
+        cluster.nodes[leader].membership.acquire_leadership(successor)
+        run_for(cluster, LEASE_S + 4.0)
+        leader = cluster.require_leader()
+    before = running_tasks(cluster)
+    first = fencing_token(cluster)
+    del cluster.nodes[leader]
+    run_for(cluster, 6.0)
+    assert cluster.leader() == "n0"
+    assert {worker.reports_to for worker in cluster.workers.values()} == {"n0"}
+    run_for(cluster, LEASE_S + 10.0)
+    assert fencing_token(cluster) == first + 1, "the workers reach the leader, which keeps the leadership"
+    assert running_tasks(cluster) == before
+
+
+@pytest.mark.parametrize("is_same_leader", [True, False])
+def test_a_worker_that_returns_from_an_earlier_leader_gets_one_answer_and_is_redirected(
+    is_same_leader: bool,
+) -> None:
+    """Guards against relaying for 30 s a worker that has not tried the present leader."""
+    cluster, leader = busy_cluster()
+    relay_name = next(name for name in cluster.nodes if name != leader)
+    relay = cluster.nodes[relay_name].relay
+    token = fencing_token(cluster)
+    worker = "vm-000009"
+    assert not relay.should_answer(worker, token, leader_unreachable=False, has_lost_leader=False)
+    cluster.pass_time(2.0)
+    token += not is_same_leader
+    assert relay.should_answer(worker, token, leader_unreachable=False, has_lost_leader=False)
+    cluster.pass_time(0.5)
+    is_relayed = relay.should_answer(worker, token, leader_unreachable=False, has_lost_leader=True)
+    assert is_relayed == is_same_leader
