A returning zone settles from the first answer of its machines to the present leader

Seen: leadership changes while a zone returns, and the jobs bound to the zone start in another order than return_order. Cause: the time until the zone is up counted from the recorded begin of the return. A new leader that had heard one machine, and verified none, found it over and took the zone for up, where there is no order. The same happened without a change of the leader if the zone's machines had been deleted: up with the first answer of the first machine launched there. Over loopback, 'from=returning to=up' by the new leader of a transfer within the return.

--- a/bayford/recovery/zone_health.py
+++ b/bayford/recovery/zone_health.py
@@ -91,6 +91,9 @@
     lost: float = NEVER  # when the zone was last lost
     flaps: int = 0  # times that it fell silent again while returning or shortly afterwards
     unknown_reason: str = ""  # why the zone cannot be judged now; empty if it can
+    # While returning: since when machines of it have answered this leader, None before the first one. It is
+    # not stored: a new leader has verified no machine, so that work has yet to return in order.
+    answering_since: float | None = None
 
 
 def find_unknown_reason(
@@ -142,7 +145,7 @@
 
 def _advance_from_suspect(status: ZoneStatus, facts: ZoneFacts, now: float, times: HealthTimes) -> ZoneStatus:
     if times.is_reachable(facts):
-        return replace(status, state=ZoneState.RETURNING if status.flaps else ZoneState.UP, since=now)
+        return _return(status, facts, now) if status.flaps else replace(status, state=ZoneState.UP, since=now)
     if not status.unknown_reason and now - status.suspected >= times.lost_after_s:
         return replace(status, state=ZoneState.LOST, since=now, lost=now)
     return status
@@ -156,7 +159,13 @@
         # time the zone becomes returning, so that newly launched machines can show it.
         has_settled = now - status.since >= times.settle_s(status.flaps)
         is_returning = not status.unknown_reason and has_settled
-    return replace(status, state=ZoneState.RETURNING, since=now) if is_returning else status
+    return _return(status, facts, now) if is_returning else status
+
+
+def _return(status: ZoneStatus, facts: ZoneFacts, now: float) -> ZoneStatus:
+    """Returns the status of a zone that begins to return."""
+    answering_since = now if facts.answering else None
+    return replace(status, state=ZoneState.RETURNING, since=now, answering_since=answering_since)
 
 
 def _advance_from_returning(
@@ -166,7 +175,11 @@
         if status.unknown_reason:
             return status
         return replace(status, state=ZoneState.SUSPECT, since=now, suspected=now, flaps=status.flaps + 1)
-    if facts.answering and now - status.since >= times.settle_s(status.flaps):
+    if not facts.answering:
+        return status
+    if status.answering_since is None:
+        return replace(status, answering_since=now)
+    if now - status.answering_since >= times.settle_s(status.flaps):
         return replace(status, state=ZoneState.UP, since=now)
     return status
 
--- a/tests/test_zone_leader_changes.py
+++ b/tests/test_zone_leader_changes.py
@@ -137,3 +137,70 @@
     loss = stored_zone_record(cluster).losses[-1]
     assert loss.suspected == pytest.approx(suspected, abs=1.0)
     assert loss.lost - loss.suspected >= LOST_AFTER_S
+
+
+def submit_jobs_bound_to_the_zone(cluster: Cluster) -> None:
+    """Submit a job of each class, in the reverse of the order in which they are to return."""
+    for number, lane in ((2, "trickle"), (3, "sweep"), (4, "hot")):
+        cluster.submit(
+            "n0",
+            cluster.job(
+                number, lane=lane, crew="open", parts=4, guess_s=900.0, yard="south", bundle=f"img-{lane}"
+            ),
+        )
+
+
+def attempts_in_return_order(cluster: Cluster) -> list[int]:
+    """The attempt numbers of the jobs bound to the zone, those of `return_order` first."""
+    jobs = leader_of(cluster).scheduler.state.jobs
+    return [
+        attempt
+        for name in ("req-000004", "req-000003", "req-000002")
+        for attempt in sorted(placement.attempt for placement in jobs[name].open.values())
+    ]
+
+
+@change_leader
+@pytest.mark.parametrize("after_s", [0.5, 4.0, 8.0, 11.5])
+@pytest.mark.parametrize("changes", [1, 2])
+def test_work_returns_in_order_although_the_leader_changes_while_the_zone_returns(
+    change: LeaderChange, after_s: float, changes: int
+) -> None:
+    """Guards against a zone that was up, and its order gone, before the new leader had verified a machine."""
+    cluster = recovery_cluster()
+    cut_zone_off(cluster)
+    run_until_state(cluster, "lost")
+    reconnect_zones(cluster)
+    run_until_state(cluster, "returning")
+    run_for(cluster, after_s)
+    for _ in range(changes):
+        change(cluster)
+    submit_jobs_bound_to_the_zone(cluster)
+    while not leader_of(cluster).scheduler.state.verified_machines:
+        assert zone_state(cluster) == "returning"
+        run_for(cluster, 0.5)
+    run_for(cluster, 6.0)
+    attempts = attempts_in_return_order(cluster)
+    assert len(attempts) == 12
+    assert attempts == sorted(attempts)
+    run_until_state(cluster, "up")
+    run_for(cluster, 2.0)
+    assert stored_zone_record(cluster).losses[-1].returned > 0
+
+
+@change_leader
+def test_a_zone_settles_from_its_first_answer_and_not_from_its_launches(change: LeaderChange) -> None:
+    """Guards against a zone that was up as soon as one machine of it answered, if that took a while."""
+    cluster = recovery_cluster()
+    cut_zone_off(cluster)
+    run_until_state(cluster, "lost")
+    while any(worker.zone == "south" for worker in cluster.workers.values()):
+        run_for(cluster, 0.5)
+    run_until_state(cluster, "returning")
+    change(cluster)
+    run_for(cluster, 3 * LEASE_S)
+    reconnect_zones(cluster)
+    cluster.machine(zone="south")
+    answering_from = cluster.clock.now
+    run_until_state(cluster, "up")
+    assert cluster.clock.now - answering_from >= LEASE_S
