The users of a stand-in site stop with it, also if the test fails

Seen: a failed flood test made test_the_server_refuses_malformed_requests_and_keeps_connections fail in the same process. Cause: Users.close, which ends its 24 threads, was called at the end of the test alone, and joined none. Change: Users registers its close with the site, which calls it at its exit; close joins the threads, and a flood that still runs ends at once. Test: test_the_users_of_a_failed_test_stop_with_its_site; the flood was still alive before.

--- a/standins/site.py
+++ b/standins/site.py
@@ -76,6 +76,12 @@
         )
         self.cloud = Cloud(self.fleet, [KIND], ZONES, capacity)
 
+        self._exit_callbacks: list[Callable[[], None]] = []
+
+    def call_on_exit(self, callback: Callable[[], None]) -> None:
+        """Call `callback` before the services and controllers are stopped, also if the test has failed."""
+        self._exit_callbacks.append(callback)
+
     def __enter__(self) -> Self:
         _open_sites.append(self)
         for name in self.controllers.front_addresses:
@@ -86,6 +92,8 @@
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
         _open_sites.remove(self)
+        for callback in self._exit_callbacks:
+            callback()
         self.controllers.close()
         self.fleet.close()
         self.cloud.close()
--- a/standins/users.py
+++ b/standins/users.py
@@ -33,7 +33,10 @@
 
 
 class Users:
-    """All users of a site: a pool of threads that submit jobs and retry until `close` is called."""
+    """All users of a site: a pool of threads that submit jobs and retry until `close` is called.
+
+    The site calls it at its exit, also when a test fails.
+    """
 
     def __init__(self, site: Site, seed: int) -> None:
         self._site = site
@@ -42,10 +45,15 @@
         self._scheduled: list[tuple[float, int, Submission]] = []
         # Guards the submissions and the schedule; notified of each new entry of the schedule.
         self._changed = threading.Condition()
-        self._closed = False
+        self._closed = threading.Event()
         self.submissions: list[Submission] = []
-        for _ in range(THREAD_COUNT):
-            threading.Thread(target=self._run_submissions, daemon=True).start()
+        self._threads = [
+            threading.Thread(target=self._run_submissions, name=f"user-{number}", daemon=True)
+            for number in range(THREAD_COUNT)
+        ]
+        for thread in self._threads:
+            thread.start()
+        site.call_on_exit(self.close)
 
     def submit(self, job: dict[str, Any], run_s: float) -> None:
         """Upload a job and schedule its submission."""
@@ -58,15 +66,16 @@
     def flood(
         self, make_job: Callable[[int], dict[str, Any]], per_s: float, seconds: float, run_s: float
     ) -> None:
-        """Submit `per_s` jobs a second for `seconds`, evenly spaced; blocks until the last is scheduled.
+        """Submit `per_s` jobs a second for `seconds`, evenly spaced; blocks until the last is scheduled, or
+        until `close`.
 
         `make_job` returns the job with the given number; `run_s` is the run time of each task.
         """
         started_at = time.monotonic()
         for number in range(int(per_s * seconds)):
             wait_s = started_at + number / per_s - time.monotonic()
-            if wait_s > 0:
-                time.sleep(wait_s)
+            if self._closed.wait(max(0.0, wait_s)):
+                return
             self.submit(make_job(number), run_s)
 
     def all_answers(self) -> list[SubmissionAnswer]:
@@ -75,21 +84,26 @@
             return [answer for submission in self.submissions for answer in submission.answers]
 
     def close(self) -> None:
-        """Stop all threads; scheduled submissions are not sent."""
+        """Stop all threads and wait for their end; scheduled submissions are not sent."""
+        self._closed.set()
         with self._changed:
-            self._closed = True
             self._changed.notify_all()
+        for thread in self._threads:
+            thread.join()
 
     def _schedule(self, submission: Submission, at: float) -> None:
         heapq.heappush(self._scheduled, (at, next(self._sequence_numbers), submission))
         self._changed.notify()
 
+    def _is_submission_due(self) -> bool:
+        return bool(self._scheduled) and self._scheduled[0][0] <= time.monotonic()
+
     def _run_submissions(self) -> None:
         while True:
             with self._changed:
-                while not self._closed and (not self._scheduled or self._scheduled[0][0] > time.monotonic()):
+                while not self._closed.is_set() and not self._is_submission_due():
                     self._changed.wait(0.05 if self._scheduled else None)
-                if self._closed:
+                if self._closed.is_set():
                     return
                 _, _, submission = heapq.heappop(self._scheduled)
                 controller = self._rng.choice(list(self._site.controllers.front_addresses))
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -3,14 +3,17 @@
 import socket
 import subprocess
 import sys
+import threading
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from standins.controllers import ControllerEndedError, Controllers
 from standins.ports import BLOCK_SIZE, END_PORT, FIRST_PORT, PortBlock
-from standins.site import Site, await_state
+from standins.site import Site, await_state, job
+from standins.users import Users
 
 ROOT = Path(__file__).resolve().parent.parent
 SITES = 60
@@ -55,12 +58,28 @@
     return process.stdout.readline()
 
 
+def test_the_users_of_a_failed_test_stop_with_its_site(tmp_path: Path) -> None:
+    """Guards against 24 threads that went on after a failed flood and failed a test that counts threads."""
+    site = Site(tmp_path, "")
+    users = Users(site, 1)
+    flood = threading.Thread(target=users.flood, args=(_small_job, 10.0, 60.0, 0.1), daemon=True)
+    flood.start()
+    with pytest.raises(TimeoutError), site:
+        await_state(lambda: False, "nothing", timeout_s=1.0)
+    flood.join(timeout=1.0)
+    assert users.submissions
+    assert not flood.is_alive()
+    assert [thread.name for thread in threading.enumerate() if thread.name.startswith("user-")] == []
+
+
+def _small_job(number: int) -> dict[str, Any]:
+    return job(number, "img-0", 1)
+
+
 def test_a_block_with_a_port_in_use_is_passed_over_and_closed_blocks_are_free_again() -> None:
     first = PortBlock(3)
     first.close()
-    with socket.socket() as occupied:
-        occupied.bind(("127.0.0.1", first.ports[1]))
-        occupied.listen()
+    with _listening_socket("127.0.0.1", first.ports[1]):
         second = PortBlock(3)
         second.close()
     assert second.ports != first.ports
@@ -74,14 +93,15 @@
     """Guards against a test that waited 120 s for a controller that had ended at its start."""
     site = Site(tmp_path, "")
     host, _, port = site.controllers.front_addresses["n0"].partition(":")
-    with socket.socket() as occupied:
-        occupied.bind((host, int(port)))
-        occupied.listen()
-        with (
-            site,
-            pytest.raises(
-                ControllerEndedError,
-                match=rf"n0 ended with status 3:\n(?s:.*)cannot listen: server=front address={host}:{port} ",
-            ),
-        ):
-            await_state(lambda: False, "nothing")
+    message = rf"n0 ended with status 3:\n(?s:.*)cannot listen: server=front address={host}:{port} "
+    with _listening_socket(host, int(port)), site, pytest.raises(ControllerEndedError, match=message):
+        await_state(lambda: False, "nothing")
+
+
+def _listening_socket(host: str, port: int) -> socket.socket:
+    """Returns a socket that occupies an address. Like a controller's, it may follow a closed one at once."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    sock.listen()
+    return sock
