In a returning zone, work is not preempted for work later in the return order

Seen: jobs bound to a returning zone start in another order than return_order: two tasks of the first class had returned, were stopped a second later and started again after those of the next class. Cause: urgent tasks of a class without rank preempted them. Placement keeps the order in a returning zone, preemption did not look at it. Change: a victim in a returning zone must not rank before the waiting job. The balancer moves nothing there already. Test: test_a_job_preempts_no_work_before_it_in_the_return_order_while_the_zone_returns; 2 tasks stopped before.

--- a/bayford/coordination/leader/preemptor.py
+++ b/bayford/coordination/leader/preemptor.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from bayford.coordination.leader.leader_state import RESERVATION_S, LeaderState
+from bayford.recovery import return_order
 from bayford.scheduling import placement_rules, preemption
 from bayford.scheduling.model import EPS, URGENT, Job, Machine, Placement
 from bayford.scheduling.quota import TeamQuota
@@ -186,6 +187,7 @@
                 preemption.Victim(placement.job, placement, self._stop_cost(placement, search))
                 for placement in machine.open.values()
                 if not placement.unpreemptable
+                and self._respects_return_order(waiting, placement.job, machine)
                 and preemption.may_stop(waiting, placement.job, search.quotas, unmet_guarantee)
                 and not (skip_ending and self._ends_soon(placement, now))
             ]
@@ -198,6 +200,16 @@
         options.sort(key=lambda option: (option.cost, option.machine))
         return options
 
+    def _respects_return_order(self, waiting: Job, victim: Job, machine: Machine) -> bool:
+        """Return whether the waiting job may preempt the victim on the machine as far as zones are concerned.
+
+        In a returning zone, a job gets only the capacity that those before it in the return order leave.
+        """
+        if machine.zone not in self._state.returning_zones:
+            return True
+        order = self._state.policy.return_order
+        return return_order.rank(waiting, order) <= return_order.rank(victim, order)
+
     def _search_window(self, machines: list[Machine]) -> list[Machine]:
         """Return the machines that this search looks at, at most `preempt_machines`; successive searches take
         successive windows of the fleet."""
--- a/tests/test_zone_recovery.py
+++ b/tests/test_zone_recovery.py
@@ -370,3 +370,28 @@
     assert {task_id[:10] for task_id in running_in_zone(cluster)} == {"req-000003", "req-000002"}, (
         "the last job does not starve"
     )
+
+
+def test_a_job_preempts_no_work_before_it_in_the_return_order_while_the_zone_returns(
+    cluster: Cluster,
+) -> None:
+    """Guards against urgent work of a class without rank that stopped returned work of the first class."""
+    cluster.submit(
+        "n0", cluster.job(1, crew="open", parts=16, rank="urgent", yard="north", guess_s=900.0, lane="sweep")
+    )
+    cut_zone_off(cluster)
+    run_for(cluster, 22.0)
+    assert zone_state(cluster) == "lost"
+    reconnect_zones(cluster)
+    cluster.submit("n0", cluster.job(2, crew="open", parts=16, yard="south", guess_s=900.0, lane="hot"))
+    while len(running_in_zone(cluster)) < 16:
+        run_for(cluster, 0.5)
+    cluster.submit("n0", cluster.job(3, crew="open", parts=2, rank="urgent", guess_s=900.0, lane="trickle"))
+    while zone_state(cluster) == "returning":
+        jobs = leader_of(cluster).scheduler.state.jobs
+        assert not any(placement.stopping for placement in jobs["req-000002"].open.values())
+        assert len(jobs["req-000002"].open) == 16
+        run_for(cluster, 0.5)
+    run_for(cluster, 10.0)
+    running = [task_id for task_id in running_in_zone(cluster) if task_id.startswith("req-000003")]
+    assert len(running) == 2, "in a zone that is up, urgent work preempts"
