A machine that a relay answers is silent after a lease, not after 2.5 heartbeat intervals

Seen: 'zone state changed: zone=north from=up to=suspect' while the workers of north were answered by a relay all the time; work that had room there went elsewhere, in the trace by preemption. Cause: a relay passes the heartbeats of all its machines on together, every 4 s, and every 8 s if they need many values. Between two publications all of them were silent for 2.5 intervals, which is 2.5 s in the test and 5 s at a heartbeat every 2 s, and a zone is judged by machines that fall silent together. Change: with a relay the limit is a lease, within which a relay passes each machine on. Test: test_a_zone_whose_heartbeats_a_relay_passes_on_is_not_suspect; suspect before.

--- a/bayford/coordination/leader/zone_monitor.py
+++ b/bayford/coordination/leader/zone_monitor.py
@@ -23,7 +23,7 @@
     advance,
     find_unknown_reason,
 )
-from bayford.scheduling.model import Placement
+from bayford.scheduling.model import Machine, Placement
 from bayford.storage.key_value_store import Put
 
 log = logging.getLogger(__name__)
@@ -145,7 +145,6 @@
 
     def _count_machines(self, now: float) -> dict[int, ZoneFacts]:
         """Returns the present machine counts of each zone that has machines."""
-        silent_after_s = MISSED_HEARTBEATS * self.times.heartbeat_interval_s
         facts_by_zone: dict[int, ZoneFacts] = {}
         for machine in self._state.machines.values():
             # A new leader has received no heartbeat from machines of a zone that fell silent before its term.
@@ -155,7 +154,7 @@
                 continue
             since = self.statuses[machine.zone].since if machine.zone in self.statuses else 0.0
             # Until the first heartbeat, `last_heartbeat_at` is when this leader learned of the machine.
-            alive = machine.registered and now - machine.last_heartbeat_at <= silent_after_s
+            alive = machine.registered and now - machine.last_heartbeat_at <= self._silent_after_s(machine)
             answering = alive and machine.token_acknowledged and machine.last_answered_at >= since
             facts = facts_by_zone.get(machine.zone, NO_MACHINES)
             facts_by_zone[machine.zone] = ZoneFacts(
@@ -163,6 +162,16 @@
             )
         return facts_by_zone
 
+    def _silent_after_s(self, machine: Machine) -> float:
+        """Returns the seconds without a heartbeat after which the machine is silent.
+
+        A relay passes heartbeats on together, at the latest within a lease, so that all machines that it
+        answers would seem to fall silent at once.
+        """
+        if machine.relay:
+            return self.times.lease_s
+        return MISSED_HEARTBEATS * self.times.heartbeat_interval_s
+
     def _on_transition(self, zone: int, before: ZoneStatus, after: ZoneStatus) -> None:
         state = self._state
         name = state.zones[zone]
--- a/tests/test_zone_recovery.py
+++ b/tests/test_zone_recovery.py
@@ -16,6 +16,7 @@
     zone_state,
 )
 
+from bayford.coordination.workers import relay
 from bayford.recovery import zone_record
 from bayford.recovery.zone_health import (
     ZoneState,
@@ -395,3 +396,18 @@
     run_for(cluster, 10.0)
     running = [task_id for task_id in running_in_zone(cluster) if task_id.startswith("req-000003")]
     assert len(running) == 2, "in a zone that is up, urgent work preempts"
+
+
+def test_a_zone_whose_heartbeats_a_relay_passes_on_is_not_suspect(cluster: Cluster) -> None:
+    """Guards against closing a zone between two publications of the relay that answers all its machines."""
+    scheduler = leader_of(cluster).scheduler
+    workers = [worker for worker in cluster.workers.values() if worker.zone == "south"]
+    cut_zone_off(cluster)
+    for _ in range(5):
+        for worker in workers:
+            scheduler.on_heartbeat(worker.heartbeat(), relay="n2")
+        for _ in range(int(relay.MAX_PERIOD_S * 2)):
+            run_for(cluster, 0.5)
+            assert zone_state(cluster) == "up"
+    run_for(cluster, cluster.lease_s)
+    assert zone_state(cluster) == "suspect", "the relay passes nothing on any more"
