A zone record with broken ranges or times in the future harms no leader

Seen: with a record whose list of tasks has an odd length, no controller gets through its recovery, so that the site has no leader (ValueError in on_leadership_acquired, every second). With a 'since' in the future, as a leader whose clock was ahead writes it, a lost zone without machines stays closed until then. Cause: the ranges were decoded outside of the check of the record; times were taken as they came. Change: decode checks the ranges, so that the record is logged and treated as absent; a time in the future is logged with its zone and counts as now.

--- a/bayford/coordination/leader/zone_monitor.py
+++ b/bayford/coordination/leader/zone_monitor.py
@@ -83,6 +83,9 @@
             except (zone_record.UnreadableRecordError, ValueError) as error:
                 log.error("zone record unreadable, treated as absent: zone=%s error=%s", name, error)
                 continue
+            if record.since > state.wall():
+                # The clock of the last leader was ahead, or somebody wrote the record.
+                log.error("zone record from the future, its times count as now: zone=%s", name)
             if zone is not None:
                 self.statuses[zone] = status
                 self.losses[zone] = [TaskOutcomes.from_stored(loss) for loss in record.losses]
@@ -90,7 +93,8 @@
         self._update_scheduling_state()
 
     def _decode_status(self, record: zone_record.ZoneRecord) -> ZoneStatus:
-        """Returns the stored status with times converted to this process's clock.
+        """Returns the stored status with times converted to this process's clock, none of them in the future.
+        A lost zone without machines returns some time after `since`.
 
         Raises ValueError if the stored state is unknown.
         """
@@ -98,13 +102,13 @@
         now = state.clock()
         offset_s = now - state.wall()  # converts times of day to times of this clock
         zone_state = ZoneState(record.state)
-        since = record.since + offset_s
+        since = min(now, record.since + offset_s)
         # Only losses store the time of suspicion. A suspect zone has not been lost since, and a zone with a
         # record but without losses has been suspect at some time.
         if zone_state is ZoneState.SUSPECT or not record.losses:
             suspected = since
         else:
-            suspected = record.losses[-1].suspected + offset_s
+            suspected = min(now, record.losses[-1].suspected + offset_s)
         lost = record.losses[-1].lost + offset_s if record.losses else NEVER
         return ZoneStatus(zone_state, since, suspected, lost, record.flaps)
 
--- a/bayford/recovery/zone_record.py
+++ b/bayford/recovery/zone_record.py
@@ -4,6 +4,7 @@
 it. Its size is limited: if necessary, older losses are stored as counts of tasks instead of lists.
 """
 
+import itertools
 from collections.abc import Mapping
 from typing import Any
 
@@ -14,6 +15,7 @@
 
 VERSION = 1
 MAX_LOSSES = 8  # maximum number of losses stored per zone
+MAX_TASKS = 100_000  # of a job, by PROTOCOL
 
 # Names of the task outcomes, as stored and reported.
 OPEN, FINISHED, RERUN, CANCELLED, ENDED_UNSEEN = "open", "finished", "again", "cancelled", "over"
@@ -123,4 +125,15 @@
         raise UnreadableRecordError(f"not a zone's record: {error}") from error
     if record.form != VERSION:
         raise UnreadableRecordError(f"a zone's record of version {record.form}")
+    for loss in record.losses:
+        for ranges_by_job in (loss.open, loss.finished, loss.cancelled, loss.ended_unseen):
+            for job_id, ranges in ranges_by_job.items():
+                if not _are_task_ranges(ranges):
+                    raise UnreadableRecordError(f"not ranges of tasks: job={job_id} ranges={ranges}")
     return record
+
+
+def _are_task_ranges(ranges: list[int]) -> bool:
+    """Returns whether the list is pairs of first and last task, in ascending order."""
+    is_ascending = all(first <= last for first, last in itertools.pairwise([0, *ranges, MAX_TASKS - 1]))
+    return len(ranges) % 2 == 0 and is_ascending
--- a/tests/test_zone_records.py
+++ b/tests/test_zone_records.py
@@ -83,7 +83,23 @@
 
 
 @pytest.mark.parametrize(
-    "stored_value", [None, [], {"zone": "north"}, {"zone": "n", "state": "up", "since": 1.0, "v": 9}]
+    "stored_value",
+    [
+        None,
+        [],
+        {"zone": "north"},
+        {"zone": "n", "state": "up", "since": 1.0, "v": 9},
+        {"zone": "north", "state": "lost", "since": None},
+        *(
+            {
+                "zone": "north",
+                "state": "up",
+                "since": 1.0,
+                "losses": [{"suspected": 1.0, "open": {"j": ranges}}],
+            }
+            for ranges in ([0], [4, 2], [-1, 0], [0, 10**12])
+        ),
+    ],
 )
 def test_an_unreadable_zone_record_is_an_error_and_counts_as_absent(
     stored_value: object, caplog: pytest.LogCaptureFixture
@@ -100,6 +116,33 @@
     assert cluster.query("n0", "req-000009") == "running"
 
 
+@pytest.mark.parametrize("state", ["up", "suspect", "lost", "returning", "gone"])
+def test_a_record_from_the_future_or_with_an_unknown_state_closes_no_zone_for_ever(
+    state: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    cluster = recovery_cluster()
+    cluster.cloud.delete([worker.name for worker in cluster.workers.values() if worker.zone == "south"])
+    future = cluster.clock.wall() + 1e9
+    value = {
+        "zone": "south",
+        "state": state,
+        "since": future,
+        "losses": [{"suspected": future, "lost": future}],
+    }
+    cluster.store._change([put_zone_record("south", value)])
+    cluster.boot(cluster.require_leader())
+    run_for(cluster, 40.0)
+    cluster.machine(zone="south")
+    run_for(cluster, 20.0)
+    leader = cluster.nodes[cluster.require_leader()].scheduler
+    assert not leader.state.closed_zones
+    message = "treated as absent: zone=south" if state == "gone" else "from the future"
+    assert any(message in record.getMessage() for record in caplog.records)
+    cluster.submit("n0", cluster.job(9, crew="open", yard="south"))
+    run_for(cluster, 5.0)
+    assert cluster.query("n0", "req-000009") == "running"
+
+
 def put_zone_record(zone: str, value: object) -> Put:
     """Returns a write that stores `value` as the record of a zone."""
     return Put(zone_record.key(zone), value)
