A relay that reaches the leader again redirects the workers that it answered meanwhile

Seen: controllers start together, and six seconds after the first election the leader hands over to a controller that all workers report to ('machines_relayed=12 machines_direct=0'). Cause: the controller that the workers tried first had not reached the leader, which was still starting, and answered them for 10 s. It reached the leader a second later, but did not send them there. Change: a relay period whose reason is that the relay can't reach the leader ends when it can. Test: test_workers_relayed_while_the_relay_does_not_reach_the_leader_return_when_it_does; before, they stay for 10 s.

--- a/bayford/coordination/workers/relay.py
+++ b/bayford/coordination/workers/relay.py
@@ -63,8 +63,11 @@
     reason: RelayReason
 
     def is_current(self, now: float, fencing_token: int, leader_unreachable: bool) -> bool:
-        """Returns whether it goes on under the leader with this token."""
-        return self.until > now and (self.fencing_token == fencing_token or leader_unreachable)
+        """Returns whether it goes on: not under another leader, or as soon as its reason no longer holds."""
+        if self.until <= now:
+            return False
+        is_same_leader = self.fencing_token == fencing_token
+        return leader_unreachable or (is_same_leader and self.reason is not RelayReason.LEADER_UNREACHABLE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,7 +134,8 @@
         relayed at once, because a short lease leaves no time for a redirect to the leader first.
 
         `fencing_token`: of the present leader. A machine that could not reach an earlier one is redirected to
-        the present one, unless this controller can't reach it either (`leader_unreachable`).
+        the present one, unless this controller can't reach it either (`leader_unreachable`). One that is
+        relayed for that reason alone is redirected once this controller reaches the leader.
         """
         now = self._clock()
         with self._lock:
--- a/tests/test_leadership_transfer.py
+++ b/tests/test_leadership_transfer.py
@@ -245,3 +245,18 @@
     cluster.pass_time(0.5)
     is_relayed = relay.should_answer(worker, token, leader_unreachable=False, has_lost_leader=True)
     assert is_relayed == is_same_leader
+
+
+def test_workers_relayed_while_the_relay_does_not_reach_the_leader_return_when_it_does() -> None:
+    """Guards against relaying for 10 s the workers of controllers that had just started, and a transfer."""
+    cluster, leader = busy_cluster()
+    fresh = [cluster.machine() for _ in range(4)]  # they have no controller's answer yet
+    relay_name = next(name for name in cluster.nodes if name != leader)
+    cluster.mesh_cuts.add(leader)
+    cluster.nodes[relay_name].peer_poller.step()
+    for worker in fresh:
+        assert cluster.heartbeat(worker, relay_name) == 200
+        worker.reports_to = relay_name
+    cluster.mesh_cuts.clear()
+    run_for(cluster, 2.0)
+    assert {worker.reports_to for worker in fresh} == {leader}
