Work with room in other zones leaves a returning zone to the work bound to it

Seen: 'everything runs again: not within 120 s' in the zone test over loopback: two tasks of a job bound to the returned zone wait ('no room on an allowed machine') beside three empty machines in the other zone, for as long as the work that took the zone runs; it was still so 100 s later. Cause: a round offered the capacity of a returning zone to all jobs, in return order, before it looked at other zones. 32 urgent tasks that may run anywhere took the whole zone but 12 CPUs, ahead of the bound job of their class. Change: a round places what has room in other zones first, then offers the returning zone to the rest in return order. Test: test_work_that_may_run_elsewhere_leaves_the_returning_zone_to_work_bound_to_it; before, none of the bound tasks ran.

--- a/bayford/coordination/leader/scheduling_round.py
+++ b/bayford/coordination/leader/scheduling_round.py
@@ -11,7 +11,7 @@
 from bayford.coordination.leader.scheduling_queue import QueueEntry, SchedulingQueue
 from bayford.coordination.leader.task_placer import NO_ROOM, TaskPlacer
 from bayford.recovery import return_order
-from bayford.scheduling.model import GANG, URGENT, Job, Machine
+from bayford.scheduling.model import GANG, URGENT, Machine
 
 IMAGE_COUNT_PERIOD_S = 2.0  # between recomputations of the images that are on many machines
 
@@ -62,16 +62,25 @@
         """Place the queue's tasks until no machine has room, so that the cost of a round is proportional to
         the free capacity.
 
+        Returning zones come last: work that may run elsewhere leaves their capacity to the work that may not.
+        """
+        unplaced = self._place_in_other_zones(queue, now)
+        if self._state.returning_zones:
+            self._place_returning(unplaced, now)
+
+    def _place_in_other_zones(self, queue: list[QueueEntry], now: float) -> list[QueueEntry]:
+        """Place tasks in all zones but the returning ones, in the order of service. Return the entries that
+        still have tasks to place, none if no machine has room.
+
         A job whose image is on enough machines is first placed only on machines that have the image. In a
         backlog, this leaves room on the other machines to jobs whose images are there; fetching an image
         takes as long as many tasks run.
         """
-        if self._state.returning_zones:
-            queue = self._place_returning(queue, now)
         common_images = self._common_images(now) if self._state.capacity_index else frozenset()
-        deferred: list[tuple[Job, int]] = []
+        unplaced: list[QueueEntry] = []
+        deferred: list[QueueEntry] = []
         for entry in queue:
-            job, count = entry.job, entry.count
+            job = entry.job
             if not self._state.capacity_index:
                 job.waiting_reason = NO_ROOM
                 continue
@@ -82,35 +91,32 @@
                 and job.spec.priority < URGENT
                 and job.spec.shape != GANG
             )
-            waiting_before = len(job.waiting)
-            self._placer.place(job, count, now, with_image_only=waits_for_image)
-            count -= waiting_before - len(job.waiting)
-            if waits_for_image and count > 0 and job.waiting:
-                deferred.append((job, count))
-        for job, count in deferred:
-            if not self._state.capacity_index:
-                break
-            self._placer.place(job, count, now)
+            remaining = self._place_entry(entry, now, with_image_only=waits_for_image)
+            if remaining.count > 0 and job.waiting:
+                (deferred if waits_for_image else unplaced).append(remaining)
+        unplaced += [self._place_entry(entry, now) for entry in deferred]
+        return unplaced
 
-    def _place_returning(self, queue: list[QueueEntry], now: float) -> list[QueueEntry]:
-        """Place tasks in returning zones, job classes in the order that the operators configured. Return the
-        entries of the queue that still have tasks to place.
+    def _place_returning(self, queue: list[QueueEntry], now: float) -> None:
+        """Place tasks in returning zones, job classes in the order that the operators configured.
 
         Each class gets the capacity that the classes before it leave. Each machine fetches one image at a
         time.
         """
         return_ranks = self._state.policy.return_order
-        unplaced = {}
         for entry in sorted(queue, key=lambda entry: return_order.rank(entry.job, return_ranks)):
-            waiting_before = len(entry.job.waiting)
-            if waiting_before and self._state.capacity_index:
-                self._placer.place(entry.job, entry.count, now, returning=True)
-            placed = waiting_before - len(entry.job.waiting)
-            unplaced[entry.order, entry.job.spec.id] = entry.count - placed
-        remaining = [
-            dataclasses.replace(entry, count=unplaced[entry.order, entry.job.spec.id]) for entry in queue
-        ]
-        return [entry for entry in remaining if entry.count > 0 and entry.job.waiting]
+            self._place_entry(entry, now, returning=True)
+
+    def _place_entry(
+        self, entry: QueueEntry, now: float, with_image_only: bool = False, returning: bool = False
+    ) -> QueueEntry:
+        """Place tasks of one entry (see `TaskPlacer.place`) and return it with the count that is left."""
+        job = entry.job
+        waiting_before = len(job.waiting)
+        if entry.count > 0 and waiting_before and self._state.capacity_index:
+            self._placer.place(job, entry.count, now, with_image_only, returning)
+        placed = waiting_before - len(job.waiting)
+        return dataclasses.replace(entry, count=entry.count - placed) if placed else entry
 
     def _common_images(self, now: float) -> frozenset[int]:
         """Return the images that are on more than `image_share` of the usable machines, so that jobs may wait
--- a/tests/test_zone_recovery.py
+++ b/tests/test_zone_recovery.py
@@ -411,3 +411,20 @@
             assert zone_state(cluster) == "up"
     run_for(cluster, cluster.lease_s)
     assert zone_state(cluster) == "suspect", "the relay passes nothing on any more"
+
+
+def test_work_that_may_run_elsewhere_leaves_the_returning_zone_to_work_bound_to_it(cluster: Cluster) -> None:
+    """Guards against a job bound to the zone that never ran, as work with room elsewhere had its capacity."""
+    cut_zone_off(cluster)
+    run_for(cluster, 22.0)
+    assert zone_state(cluster) == "lost"
+    reconnect_zones(cluster)
+    while not leader_of(cluster).scheduler.state.verified_machines:
+        run_for(cluster, 0.5)
+    assert zone_state(cluster) == "returning"
+    cluster.submit("n0", cluster.job(2, crew="open", parts=12, yard="south", guess_s=900.0, lane="trickle"))
+    cluster.submit("n0", cluster.job(1, crew="open", parts=20, rank="urgent", guess_s=900.0, lane="trickle"))
+    run_for(cluster, 8.0)
+    in_zone = running_in_zone(cluster)
+    assert sum(task_id.startswith("req-000002") for task_id in in_zone) == 12
+    assert len(in_zone) == 16, "urgent work without room elsewhere gets the rest"
