A returning zone that falls silent settles anew, also if that counts as no flap

Seen: jobs bound to a returning zone start in the order of service, not in return_order. Cause: a leader that has listened for less than a lease does not judge zones, so that a second silence in a return is no flap; the settle time went on through it and was over with the first heartbeat afterwards. Change: the settle time begins anew when no machine of the zone answers.

--- a/bayford/recovery/zone_health.py
+++ b/bayford/recovery/zone_health.py
@@ -91,8 +91,8 @@
     lost: float = NEVER  # when the zone was last lost
     flaps: int = 0  # times that it fell silent again while returning or shortly afterwards
     unknown_reason: str = ""  # why the zone cannot be judged now; empty if it can
-    # While returning: since when machines of it have answered this leader, None before the first one. It is
-    # not stored: a new leader has verified no machine, so that work has yet to return in order.
+    # While returning: since when machines of it have answered this leader without a break, None if none does.
+    # It is not stored: a new leader has verified no machine, so that work has yet to return in order.
     answering_since: float | None = None
 
 
@@ -171,6 +171,8 @@
 def _advance_from_returning(
     status: ZoneStatus, facts: ZoneFacts, now: float, times: HealthTimes
 ) -> ZoneStatus:
+    if not facts.answering:
+        status = replace(status, answering_since=None)
     if facts.machines >= times.min_machines and not facts.alive:
         if status.unknown_reason:
             return status
--- a/tests/test_zone_leader_changes.py
+++ b/tests/test_zone_leader_changes.py
@@ -204,3 +204,25 @@
     answering_from = cluster.clock.now
     run_until_state(cluster, "up")
     assert cluster.clock.now - answering_from >= LEASE_S
+
+
+@change_leader
+def test_a_zone_that_falls_silent_again_under_a_new_leader_settles_anew(change: LeaderChange) -> None:
+    """Guards against a zone that was up with the first heartbeat after a cut that counted as no flap."""
+    cluster = recovery_cluster()
+    cut_zone_off(cluster)
+    run_until_state(cluster, "lost")
+    change(cluster)
+    reconnect_zones(cluster)
+    run_until_state(cluster, "returning")
+    run_for(cluster, 1.0)
+    cut_zone_off(cluster)
+    run_for(cluster, SILENT_AFTER_S + 1.0)
+    assert zone_state(cluster) == "returning", "the leader has listened for less than a lease"
+    reconnect_zones(cluster)
+    submit_jobs_bound_to_the_zone(cluster)
+    run_for(cluster, LEASE_S - 2.0)
+    assert zone_state(cluster) == "returning"
+    attempts = attempts_in_return_order(cluster)
+    assert len(attempts) == 12
+    assert attempts == sorted(attempts)
