A task that ran again in its lost zone is recorded so, also if the leader changes right after

Seen: 'zones' lists tasks of a loss as open until they end, and then as finished in the lost zone, although they were placed again there after the return. Cause: the outcome is written up to 2 s after the placement. A leader that ends meanwhile takes it along, and the next one took a placement for a new one only if it is in another zone, which it does not know of a machine before its heartbeat. Change: a loss records the number of the first attempt after it ('next'); a placement from there on is a new one. Records without it are judged as before.

--- a/bayford/coordination/leader/zone_monitor.py
+++ b/bayford/coordination/leader/zone_monitor.py
@@ -183,7 +183,10 @@
         losses = self.losses.setdefault(zone, [])
         if after.state is ZoneState.LOST:
             outcomes = TaskOutcomes(
-                suspected=wall - (after.since - after.suspected), lost=wall, open=self._find_open_tasks(zone)
+                suspected=wall - (after.since - after.suspected),
+                lost=wall,
+                next_attempt=state.next_attempt,
+                open=self._find_open_tasks(zone),
             )
             losses.append(outcomes)
             log.error("zone lost: zone=%s tasks=%d", name, len(outcomes.open))
@@ -287,12 +290,21 @@
                 job = state.jobs.get(job_id)
                 if job is None or task in job.done:
                     outcomes.record_ended_unseen(key)
-                elif task in job.open and state.zone_of(job.open[task].machine) not in (None, zone):
+                elif task in job.open and self._is_rerun(job.open[task], outcomes, zone):
                     outcomes.record_rerun(key, state.machine_names[job.open[task].machine])
                 else:
                     continue
                 self._unwritten.add(zone)
 
+    def _is_rerun(self, placement: Placement, outcomes: TaskOutcomes, zone: int) -> bool:
+        """Returns whether an open placement was made after the loss.
+
+        It may be in the same zone, and a machine that has sent this leader no heartbeat has no known zone.
+        """
+        if 0 < outcomes.next_attempt <= placement.attempt:
+            return True
+        return self._state.zone_of(placement.machine) not in (None, zone)
+
     def _record_cancelled(self) -> None:
         for zone, losses in self.losses.items():
             for outcomes in losses:
--- a/bayford/recovery/task_outcomes.py
+++ b/bayford/recovery/task_outcomes.py
@@ -19,6 +19,7 @@
     suspected: float  # time of day in seconds, like the next two
     lost: float = 0.0
     returned: float = 0.0
+    next_attempt: int = 0  # attempts from this number on were placed after the loss; 0 if unknown
     open: set[TaskKey] = field(default_factory=set)
     finished: set[TaskKey] = field(default_factory=set)
     rerun: dict[TaskKey, str] = field(default_factory=dict)  # the machine that the task was placed on again
@@ -68,6 +69,7 @@
             suspected=self.suspected,
             lost=self.lost,
             returned=self.returned,
+            next_attempt=self.next_attempt,
             open=_ranges_by_job(self.open),
             finished=_ranges_by_job(self.finished),
             rerun=rerun,
@@ -82,6 +84,7 @@
             suspected=loss.suspected,
             lost=loss.lost,
             returned=loss.returned,
+            next_attempt=loss.next_attempt,
             open=_task_keys(loss.open),
             finished=_task_keys(loss.finished),
             rerun={
--- a/bayford/recovery/zone_record.py
+++ b/bayford/recovery/zone_record.py
@@ -49,6 +49,8 @@
     # Ended between two terms: neither leader learned on which machine.
     ended_unseen: dict[str, list[int]] = msgspec.field(name=ENDED_UNSEEN, default_factory=dict)
     counts: dict[str, int] = {}  # by outcome; tasks that are no longer listed individually
+    # Attempts from this number on were placed after the loss. 0 in records of releases that did not store it.
+    next_attempt: int = msgspec.field(name="next", default=0)
 
     def totals(self) -> dict[str, int]:
         """Returns the number of tasks by outcome, under the outcome's stored name."""
@@ -73,7 +75,12 @@
         totals = self.totals()
         totals.pop(OPEN)
         return Loss(
-            suspected=self.suspected, lost=self.lost, returned=self.returned, open=self.open, counts=totals
+            suspected=self.suspected,
+            lost=self.lost,
+            returned=self.returned,
+            open=self.open,
+            counts=totals,
+            next_attempt=self.next_attempt,
         )
 
 
--- a/tests/test_zone_leader_changes.py
+++ b/tests/test_zone_leader_changes.py
@@ -16,6 +16,7 @@
 )
 
 from bayford.recovery import zone_record
+from bayford.storage.key_value_store import Put
 
 LOST_AFTER_S = 14.0  # a lease and a heartbeat interval of the simulated settings
 LEASE_S = 12.0
@@ -226,3 +227,44 @@
     attempts = attempts_in_return_order(cluster)
     assert len(attempts) == 12
     assert attempts == sorted(attempts)
+
+
+@change_leader
+@pytest.mark.parametrize("is_recorded_by_older_release", [False, True])
+def test_a_task_that_runs_again_in_its_zone_is_no_task_that_finished_there(
+    change: LeaderChange, is_recorded_by_older_release: bool
+) -> None:
+    """Guards against an outcome that was lost with a leader that ended within 2 s after the placement."""
+    cluster = recovery_cluster()
+    cluster.submit("n0", cluster.job(1, crew="open", parts=8, yard="south", guess_s=900.0))
+    run_for(cluster, 5.0)
+    cut_zone_off(cluster)
+    run_until_state(cluster, "lost")
+    run_for(cluster, 1.0)
+    recorded = stored_zone_record(cluster)
+    if is_recorded_by_older_release:
+        recorded.losses[-1].next_attempt = 0
+    reconnect_zones(cluster)
+    while len(leader_of(cluster).scheduler.state.jobs["req-000001"].open) < 8 or not any(
+        placement.attempt > 8
+        for placement in leader_of(cluster).scheduler.state.jobs["req-000001"].open.values()
+    ):
+        run_for(cluster, 0.5)
+    # The record as it was before the tasks were placed again.
+    key = zone_record.key("south")
+    cluster.store._change([Put(key, zone_record.encode(recorded, 8192))])
+    change(cluster)
+    run_for(cluster, 8.0)
+    outcome = "open" if is_recorded_by_older_release else "again"
+    assert stored_zone_record(cluster).losses[-1].totals()[outcome] == 8
+    for task in range(8):
+        cluster.finish(f"req-000001/{task}")
+    run_for(cluster, 8.0)
+    assert stored_zone_record(cluster).losses[-1].totals()["open"] == 0
+
+
+def test_releases_pass_over_the_fields_of_a_loss_that_they_do_not_know() -> None:
+    loss = {"suspected": 1.0, "next": 7, "of_a_later_release": [1]}
+    record = zone_record.decode({"zone": "south", "state": "up", "since": 1.0, "losses": [loss]})
+    assert record.losses[0].next_attempt == 7
+    assert zone_record.encode(record, 8192)["losses"] == [{"suspected": 1.0, "next": 7}]
