The log says for how long a zone cannot be judged, and of a zone that is up as well

Cause: a zone that stayed up because nobody could judge it left no line, so that the causes of an unrecorded loss could not be told apart in the log. Change: 'zone state unknown' has the machines of the zone, those alive and the seconds; it is logged for a silent zone that is up after a lease, with each reason once; 'zone state known again' ends it. Test: test_the_log_says_since_when_a_silent_zone_cannot_be_judged_and_when_it_can_again.

--- a/bayford/coordination/leader/zone_monitor.py
+++ b/bayford/coordination/leader/zone_monitor.py
@@ -67,6 +67,7 @@
         self.losses: dict[int, list[TaskOutcomes]] = {}  # by zone, newest last
         self._unwritten: set[int] = set()  # zones whose records have changed since the last write
         self._last_write_at = 0.0
+        self._reported_unknown: dict[int, str] = {}  # by zone: the reason that was last logged
         self._heartbeat_counts: dict[int, _HeartbeatCount] = {}  # by machine
 
     def on_leadership_acquired(self) -> None:
@@ -128,25 +129,44 @@
         facts_by_zone = self._count_machines(now)
         for zone in range(len(state.zones)):
             before = self.statuses.get(zone, ZoneStatus(since=now))
+            facts = facts_by_zone.get(zone, NO_MACHINES)
             unknown_reason = find_unknown_reason(leader, facts_by_zone, zone, self.times)
-            after = advance(before, facts_by_zone.get(zone, NO_MACHINES), unknown_reason, now, self.times)
+            after = advance(before, facts, unknown_reason, now, self.times)
             self.statuses[zone] = after
             if after.state is not before.state:
                 self._on_transition(zone, before, after)
-            elif (
-                after.state is not ZoneState.UP
-                and after.unknown_reason
-                and after.unknown_reason != before.unknown_reason
-            ):
-                log.info(
-                    "zone state unknown: zone=%s kept_state=%s reason=%s",
-                    state.zones[zone],
-                    after.state,
-                    after.unknown_reason,
-                )
+            else:
+                self._log_unknown(zone, after, facts, now)
         self._record_cancelled()
         self._update_scheduling_state()
 
+    def _log_unknown(self, zone: int, status: ZoneStatus, facts: ZoneFacts, now: float) -> None:
+        """Logs when a zone that may be lost can't be judged, with each reason once, and when it can again.
+
+        Of a zone that is up this is logged after a lease: each leader begins without any heartbeats.
+        """
+        reported = self._reported_unknown.get(zone, "")
+        unknown_s = now - status.unknown_since
+        if not status.unknown_reason:
+            if self._reported_unknown.pop(zone, None):
+                log.info("zone state known again: zone=%s state=%s", self._state.zones[zone], status.state)
+            return
+        is_up = status.state is ZoneState.UP
+        if status.unknown_reason == reported or (
+            is_up and (unknown_s < self.times.lease_s or not self.times.is_silent(facts))
+        ):
+            return
+        self._reported_unknown[zone] = status.unknown_reason
+        log.info(
+            "zone state unknown: zone=%s kept_state=%s machines=%d alive=%d unknown_for_s=%.0f reason=%s",
+            self._state.zones[zone],
+            status.state,
+            facts.machines,
+            facts.alive,
+            unknown_s,
+            status.unknown_reason,
+        )
+
     def _count_machines(self, now: float) -> dict[int, ZoneFacts]:
         """Returns the present machine counts of each zone that has machines."""
         facts_by_zone: dict[int, ZoneFacts] = {}
--- a/bayford/recovery/zone_health.py
+++ b/bayford/recovery/zone_health.py
@@ -76,6 +76,11 @@
         """
         return float(self.settle_leases * self.lease_s * 2 ** min(flaps, MAX_SETTLE_DOUBLINGS))
 
+    def is_silent(self, facts: ZoneFacts) -> bool:
+        """Returns whether so many machines are silent that the zone may be lost."""
+        silent_machines = facts.machines - facts.alive
+        return facts.machines >= self.min_machines and silent_machines >= self.silent_share * facts.machines
+
     def is_reachable(self, facts: ZoneFacts) -> bool:
         """Returns whether enough machines of a zone are alive for it to count as reachable."""
         return facts.alive >= max(1.0, self.alive_share * facts.machines)
@@ -91,6 +96,7 @@
     lost: float = NEVER  # when the zone was last lost
     flaps: int = 0  # times that it fell silent again while returning or shortly afterwards
     unknown_reason: str = ""  # why the zone cannot be judged now; empty if it can
+    unknown_since: float = NEVER  # when the zone could last be judged
     # While returning: since when machines of it have answered this leader without a break, None if none does.
     # It is not stored: a new leader has verified no machine, so that work has yet to return in order.
     answering_since: float | None = None
@@ -121,17 +127,13 @@
     status: ZoneStatus, facts: ZoneFacts, unknown_reason: str, now: float, times: HealthTimes
 ) -> ZoneStatus:
     """Returns the zone's next status, given its machine counts at `now`."""
-    return _TRANSITIONS[status.state](replace(status, unknown_reason=unknown_reason), facts, now, times)
+    unknown_since = status.unknown_since if status.unknown_reason else now
+    status = replace(status, unknown_reason=unknown_reason, unknown_since=unknown_since)
+    return _TRANSITIONS[status.state](status, facts, now, times)
 
 
 def _advance_from_up(status: ZoneStatus, facts: ZoneFacts, now: float, times: HealthTimes) -> ZoneStatus:
-    silent_machines = facts.machines - facts.alive
-    has_enough_machines = facts.machines >= times.min_machines
-    if (
-        status.unknown_reason
-        or not has_enough_machines
-        or silent_machines < times.silent_share * facts.machines
-    ):
+    if status.unknown_reason or not times.is_silent(facts):
         return status
     has_flapped = status.suspected > NEVER and now - status.since < times.flap_memory_s
     return replace(
--- a/tests/test_zone_recovery.py
+++ b/tests/test_zone_recovery.py
@@ -428,3 +428,19 @@
     in_zone = running_in_zone(cluster)
     assert sum(task_id.startswith("req-000002") for task_id in in_zone) == 12
     assert len(in_zone) == 16, "urgent work without room elsewhere gets the rest"
+
+
+def test_the_log_says_since_when_a_silent_zone_cannot_be_judged_and_when_it_can_again(
+    cluster: Cluster, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level("INFO")
+    cut_zone_off(cluster, "north")
+    cut_zone_off(cluster, "south")
+    run_for(cluster, 26.0)  # before the machines are deleted
+    reconnect_zones(cluster)
+    run_for(cluster, 10.0)
+    lines = [record.getMessage() for record in caplog.records if "zone state" in record.getMessage()]
+    unknown = [line for line in lines if line.startswith("zone state unknown: zone=south kept_state=up ")]
+    assert len(unknown) == 1, "each reason is logged once"
+    assert "machines=4 alive=0 unknown_for_s=12 reason=no other zone is reachable" in unknown[0]
+    assert lines[-1].startswith("zone state known again: zone=")
