The order of heartbeats is a property of Heartbeat and Machine

Cause: epoch and sequence number were paired by hand in the relay, the heartbeat handler and the zone monitor. Change: Heartbeat.order and Machine.last_order; no change of behaviour.

--- a/bayford/coordination/leader/heartbeat_handler.py
+++ b/bayford/coordination/leader/heartbeat_handler.py
@@ -45,8 +45,7 @@
                 return None
             now = state.clock()
             machine = state.get_or_add_machine(heartbeat.machine, now)
-            order = (heartbeat.epoch, heartbeat.sequence)
-            if order <= (machine.epoch, machine.sequence) and machine.registered:
+            if heartbeat.order <= machine.last_order and machine.registered:
                 # A newer heartbeat (e.g. a command response) came first. Nothing new, but can be answered.
                 return machine.index if heartbeat.epoch == machine.epoch else None
             state.last_heartbeat_received_at = now
@@ -73,10 +72,7 @@
         """
         with self._state.lock:
             machine = self._state.machines.get(index)
-            if machine is not None and (machine.epoch, machine.sequence) == (
-                heartbeat.epoch,
-                heartbeat.sequence,
-            ):
+            if machine is not None and machine.last_order == heartbeat.order:
                 machine.last_answered_at = self._state.clock()
                 machine.sent_commands = [SentCommand(c.task_id, c.attempt, c.verb) for c in commands]
 
--- a/bayford/coordination/leader/zone_monitor.py
+++ b/bayford/coordination/leader/zone_monitor.py
@@ -274,7 +274,7 @@
         for index, machine in self._state.machines.items():
             if machine.zone not in self._state.returning_zones or not machine.registered:
                 continue
-            latest = (machine.epoch, machine.sequence)
+            latest = machine.last_order
             heartbeats = self._heartbeat_counts.get(index, _HeartbeatCount())
             since = self.statuses[machine.zone].since
             if latest != heartbeats.last and machine.last_heartbeat_at >= since:
--- a/bayford/coordination/workers/relay.py
+++ b/bayford/coordination/workers/relay.py
@@ -115,7 +115,7 @@
 
         A late copy must not move a machine between the leader and the relay, and is not passed on.
         """
-        order = (heartbeat.epoch, heartbeat.sequence)
+        order = heartbeat.order
         with self._lock:
             if len(self._latest) > MAX_REMEMBERED_ENTRIES:
                 self._latest.clear()
@@ -188,7 +188,7 @@
             stored = self._heartbeats.get(heartbeat.machine)
             if stored is not None:
                 last = stored.heartbeat
-                if (heartbeat.epoch, heartbeat.sequence) <= (last.epoch, last.sequence):
+                if heartbeat.order <= last.order:
                     return
                 if last.tasks != heartbeat.tasks or last.epoch != heartbeat.epoch:
                     self._changed = True
--- a/bayford/protocol/workers.py
+++ b/bayford/protocol/workers.py
@@ -46,6 +46,11 @@
     tasks: list[TaskState] = msgspec.field(name="parts")
     reclaim_notice_s: float | None = msgspec.field(name="recall_s", default=None)
 
+    @property
+    def order(self) -> tuple[int, int]:
+        """Its position among the machine's heartbeats: of two, the one with the larger order is newer."""
+        return (self.epoch, self.sequence)
+
 
 class Start(msgspec.Struct):
     """Start a task attempt."""
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -269,6 +269,11 @@
     reserved_for: str = ""  # id of the job for which capacity is being freed on the machine
     reserved_until: float = 0.0  # until then, only tasks of that job are placed on the machine
 
+    @property
+    def last_order(self) -> tuple[int, int]:
+        """Epoch and sequence number of its newest heartbeat, by which heartbeats are ordered."""
+        return (self.epoch, self.sequence)
+
     @property
     def usable(self) -> bool:
         """Whether new tasks may be placed on the machine."""
