Name the times and counts that decide deletions of machines

Cause: leases, boot times, missed lists and shares of cancel_s stood as bare numbers in machine_deletions.py. Change: named constants; no change of behaviour.

--- a/bayford/coordination/leader/machine_deletions.py
+++ b/bayford/coordination/leader/machine_deletions.py
@@ -15,6 +15,20 @@
 # may lie with this controller or the network.
 MAX_SILENT_MACHINES = 3
 MISSED_HEARTBEATS = 2.5  # a machine is silent after this many heartbeat intervals without a heartbeat
+MAX_TOTAL_SILENCE_S = 3.0  # without a heartbeat from any machine; beyond, the fault may be this controller's
+LEASES_IF_OWN_FAULT = 2.5  # leases of silence after which a machine is lost if the fault may lie here
+# Beyond the time for which a deposed leader may answer a machine that this one has not heard.
+DEPOSED_LEADER_MARGIN_S = 3.0
+MISSING_FROM_LISTS = (
+    2  # consecutive lists without a machine that show, together with silence, that it is gone
+)
+MISSING_FROM_LISTS_BOOTING = 3  # same for a machine that has never sent a heartbeat
+MISSED_HEARTBEATS_IF_MISSING = 1.5  # heartbeat intervals of silence of a machine that lists do not contain
+DEFAULT_BOOT_S = 60.0  # for a machine of unknown type
+MAX_BOOT_TIMES, MIN_BOOT_LIMIT_S = 4.0, 60.0  # a machine that takes longer never comes up
+# Share of `cancel_s` after which a machine is deleted to end a cancelled task, and the same if other work is on
+# it and no controller can verify its leadership: just enough time for the deletion is left then.
+UNCONFIRMED_CANCEL_SHARE, LATEST_CANCEL_SHARE = 0.5, 0.75
 
 
 class MachineDeletions:
@@ -74,17 +88,18 @@
             for m in registered
         )
         is_controller_or_network_fault = (
-            now - state.last_heartbeat_received_at > 3.0
+            now - state.last_heartbeat_received_at > MAX_TOTAL_SILENCE_S
             or now - state.leader_since < facts.lease_s
             or silent_count > max(MAX_SILENT_MACHINES, len(registered) // 4)
         )
         registered_limit_s = (
-            facts.lease_s * (2.5 if is_controller_or_network_fault else 1.0) + facts.heartbeat_interval_s
+            facts.lease_s * (LEASES_IF_OWN_FAULT if is_controller_or_network_fault else 1.0)
+            + facts.heartbeat_interval_s
         )
         # Right after a failover the deposed leader may still answer workers: it cannot detect that it was
         # replaced if the state service refuses its requests alone. It stops answering by itself once its view
         # is older than the staleness limit.
-        return registered_limit_s, max(registered_limit_s, state.staleness_limit() + 3.0)
+        return registered_limit_s, max(registered_limit_s, state.staleness_limit() + DEPOSED_LEADER_MARGIN_S)
 
     def _machines_with_unconfirmed_stops(self, now: float) -> set[int]:
         """Return the machines with a task that is not confirmed stopped half of `cancel_s` after its
@@ -96,7 +111,7 @@
         return {
             placement.machine
             for job in self._state.jobs.values()
-            if job.cancelled and now - job.cancelled_at > 0.5 * cancel_s
+            if job.cancelled and now - job.cancelled_at > UNCONFIRMED_CANCEL_SHARE * cancel_s
             for placement in job.open.values()
         }
 
@@ -106,7 +121,8 @@
         `silent_for_s` is the time since its last heartbeat, `limit_s` the time after which it counts as lost.
         """
         heartbeat_interval_s = self._state.settings.facts.workers.heartbeat_interval_s
-        if machine.missing_from_lists >= 2 and silent_for_s > heartbeat_interval_s * 1.5:
+        is_missing = machine.missing_from_lists >= MISSING_FROM_LISTS
+        if is_missing and silent_for_s > heartbeat_interval_s * MISSED_HEARTBEATS_IF_MISSING:
             return "gone from the cloud's list"
         if silent_for_s > limit_s:
             return f"silent for {silent_for_s:.0f} s"
@@ -118,10 +134,11 @@
 
     def _boot_failure_reason(self, machine: Machine, now: float, silent_for_s: float) -> str:
         """Return why a machine that has never sent a heartbeat is to be deleted, or an empty string."""
-        boot_s = self._state.types[machine.type].boot_s if machine.type is not None else 60.0
-        if machine.missing_from_lists >= 3 or machine.quarantined:
+        boot_s = self._state.types[machine.type].boot_s if machine.type is not None else DEFAULT_BOOT_S
+        if machine.missing_from_lists >= MISSING_FROM_LISTS_BOOTING or machine.quarantined:
             return "gone or failed while booting"
-        if now - machine.launched_at > max(4.0 * boot_s, 60.0) and silent_for_s > boot_s:
+        boot_limit_s = max(MAX_BOOT_TIMES * boot_s, MIN_BOOT_LIMIT_S)
+        if now - machine.launched_at > boot_limit_s and silent_for_s > boot_s:
             return "never came up"
         return ""
 
@@ -183,7 +200,8 @@
         for index, cancelled_s in pending_s.items():
             machine = self._state.machines[index]
             has_only_cancelled = all(placement.job.cancelled for placement in machine.open.values())
-            if cancelled_s > (0.5 if has_only_cancelled else 0.75) * cancel_s:
+            share = UNCONFIRMED_CANCEL_SHARE if has_only_cancelled else LATEST_CANCEL_SHARE
+            if cancelled_s > share * cancel_s:
                 machines.append(machine)
         return machines
 
