--- a/bayford/coordination/leader/machine_deletions.py
+++ b/bayford/coordination/leader/machine_deletions.py
@@ -19,15 +19,13 @@
 LEASES_IF_OWN_FAULT = 2.5  # leases of silence after which a machine is lost if the fault may lie here
 # Beyond the time for which a deposed leader may answer a machine that this one has not heard.
 DEPOSED_LEADER_MARGIN_S = 3.0
-MISSING_FROM_LISTS = (
-    2  # consecutive lists without a machine that show, together with silence, that it is gone
-)
+MISSING_FROM_LISTS = 2  # consecutive lists without a machine that, with silence, show that it is gone
 MISSING_FROM_LISTS_BOOTING = 3  # same for a machine that has never sent a heartbeat
 MISSED_HEARTBEATS_IF_MISSING = 1.5  # heartbeat intervals of silence of a machine that lists do not contain
 DEFAULT_BOOT_S = 60.0  # for a machine of unknown type
 MAX_BOOT_TIMES, MIN_BOOT_LIMIT_S = 4.0, 60.0  # a machine that takes longer never comes up
-# Share of `cancel_s` after which a machine is deleted to end a cancelled task, and the same if other work is on
-# it and no controller can verify its leadership: just enough time for the deletion is left then.
+# Share of `cancel_s` after which a machine is deleted to end a cancelled task, and the same if other work is
+# on it and no controller can verify its leadership: just enough time for the deletion is left then.
 UNCONFIRMED_CANCEL_SHARE, LATEST_CANCEL_SHARE = 0.5, 0.75
 
 
