A test plays a zone's loss, return and flap with a change of the leader at each step

Cause: the record's state, flaps and losses pass through five leaders in one story, which no test showed. Change: test_flaps_and_losses_pass_through_a_leader_change_at_each_step, with failovers and with transfers.

--- a/tests/test_zone_leader_changes.py
+++ b/tests/test_zone_leader_changes.py
@@ -5,7 +5,7 @@
 import pytest
 from cluster_helpers import leader_of
 from fakes.cluster import Cluster
-from fakes.scenarios import run_for
+from fakes.scenarios import run_for, running_tasks
 from zone_helpers import (
     cut_zone_off,
     fill_with_one_job,
@@ -268,3 +268,38 @@
     record = zone_record.decode({"zone": "south", "state": "up", "since": 1.0, "losses": [loss]})
     assert record.losses[0].next_attempt == 7
     assert zone_record.encode(record, 8192)["losses"] == [{"suspected": 1.0, "next": 7}]
+
+
+@change_leader
+def test_flaps_and_losses_pass_through_a_leader_change_at_each_step(change: LeaderChange) -> None:
+    """Guards against a flap, a loss or a longer settle time that is lost with a leader."""
+    cluster = recovery_cluster()
+    fill_with_one_job(cluster)
+    cut_zone_off(cluster)
+    for state in ("suspect", "lost"):
+        run_until_state(cluster, state)
+        run_for(cluster, 1.0)  # until the record is written
+        change(cluster)
+    reconnect_zones(cluster)
+    run_until_state(cluster, "returning")
+    run_for(cluster, 1.0)
+    change(cluster)
+    run_until_state(cluster, "up")
+    run_for(cluster, 1.0)
+    change(cluster)
+    run_for(cluster, LEASE_S + 1.0)
+    cut_zone_off(cluster)  # within `recovery_flap_memory_s` of the return
+    run_until_state(cluster, "suspect")
+    run_for(cluster, 1.0)
+    change(cluster)
+    reconnect_zones(cluster)
+    run_until_state(cluster, "returning")
+    returned_at = cluster.clock.now
+    assert stored_zone_record(cluster).flaps == 1
+    run_until_state(cluster, "up")
+    assert cluster.clock.now - returned_at >= 2 * LEASE_S
+    run_for(cluster, 4.0)
+    losses = stored_zone_record(cluster).losses
+    assert len(losses) == 1
+    assert losses[0].totals()["open"] == 0
+    assert len(running_tasks(cluster)) == len(set(running_tasks(cluster))) == 32
