--- a/tests/test_leadership_transfer.py
+++ b/tests/test_leadership_transfer.py
@@ -260,3 +260,16 @@
     cluster.mesh_cuts.clear()
     run_for(cluster, 2.0)
     assert {worker.reports_to for worker in fresh} == {leader}
+
+
+def test_workers_that_return_from_a_cut_to_another_controller_cause_no_transfer() -> None:
+    """Guards against a leader that hands over although workers reach it, as they came back to a relay."""
+    cluster, leader = busy_cluster()
+    first = fencing_token(cluster)
+    for node in cluster.names:
+        cut_off(cluster, node)
+    run_for(cluster, 26.0)  # longer than a lease, and shorter than a machine's silence until its deletion
+    cluster.network_cuts.clear()
+    run_for(cluster, 40.0)
+    assert fencing_token(cluster) == first
+    assert cluster.leader() == leader
