--- /dev/null
+++ b/review/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers that the cases of the review share."""
