--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 exec env PYTHONDONTWRITEBYTECODE= python3 -X pycache_prefix=target/pycache -c '
 import compileall, pathlib, sys
 sys.path[:0] = [".", "target/deps", "review/lib2"]
-import harness, long_state
+import harness, proxy
 cases = [str(path) for path in sorted(pathlib.Path("review").glob("[4-8]/*.py"))]
 sys.exit(0 if all([compileall.compile_file(path, quiet=1) for path in cases]) else 2)
 '
--- a/review/lib2/harness.py
+++ b/review/lib2/harness.py
@@ -29,7 +29,7 @@
 from standins.state_service import StateService  # noqa: E402
 from standins.workers import MachineKind, Worker, WorkerFleet  # noqa: E402
 
-__all__ = ["MachineKind", "Record", "Site", "Worker", "job", "run_case", "workers"]
+__all__ = ["Cloud", "MachineKind", "Record", "Site", "Worker", "job", "run_case", "workers"]
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
@@ -42,6 +42,7 @@
 RESTART_S = 5.0
 WROBEL = MachineKind("wrobel", 4.0, 32.0, 0.25, 0.19)
 SOKOL = MachineKind("sokol", 8.0, 64.0, 0.6, 0.38)
+KINDS = {kind.label: kind for kind in (WROBEL, SOKOL)}
 TEAMS = [
     ("registry-core", 40.0, 88.0),
     ("build-farm", 48.0, 168.0),
