Bound the commands in a response to a worker by what it may hold and report

Its machine ran all of them for a lease, lost them, and got them again; other tasks on the machine were lost with it.

Cause: nothing related the commands in a response, or the tasks of a machine, to the limit of 64 KiB. The leader sent 1,600 starts in one line of 82,605 bytes; the worker's next report, which has to list every task, had 121,153 bytes and got 413 from all controllers until its lease ended.

Fix: `protocol.message_sizes` has the limit and the longest form of an entry of a report and of a command, derived from the message types (longest id, integers of 20 digits, a space after each comma and colon, an escaped slash). The leader's and the relay's responses are cut by one function: stops of cancelled jobs first, then other stops and reaps, then starts, and of these only as many as the worker can report beside what it lists. The rest goes with the next response, since everything before it has left the list by then; `deferred_commands` counts it. Within the limit of reports nothing is ever cut, because no command is longer than the entry of its task.

--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -272,7 +272,7 @@
             None if self.admission is None else self.admission.gate,
         )
         stores = (self._task_log_store, self._membership_store, self._users_store, self._reads_store)
-        self._status_log = StatusLog(self.scheduler, stores, self._refused_submissions, self.relay.counts)
+        self._status_log = StatusLog(self.scheduler, stores, self._refused_submissions, self.relay)
 
     # -- callbacks between components ------------------------------------------------------------------
 
--- a/bayford/coordination/leader/leader_state.py
+++ b/bayford/coordination/leader/leader_state.py
@@ -164,6 +164,7 @@
         """Reset the state that scheduling rounds carry over to the next round, and their counters."""
         self.refusals = 0  # starts that workers refused because their machines were full
         self.starts = 0  # start commands sent
+        self.deferred_commands = 0  # commands left to a later response, because they did not fit into one
         self.balanced_at = NEVER
         self.balancing_rounds = 0  # rounds in which tasks waited although their team had headroom
         self.balancing_jobs = 0  # jobs in those rounds for which migrations were searched for
--- a/bayford/coordination/leader/scheduling_queue.py
+++ b/bayford/coordination/leader/scheduling_queue.py
@@ -136,6 +136,7 @@
         lines.append(
             f"scheduler: jobs_waiting={len(waiting)} tasks_placed={running} machines={len(state.machines)} "
             f"registered={registered} refusals={state.refusals} balancer_asked={state.balancing_rounds} "
-            f"balancer_tried={state.balancing_jobs} migrations={state.migrations} starts={state.starts}"
+            f"balancer_tried={state.balancing_jobs} migrations={state.migrations} starts={state.starts} "
+            f"deferred_commands={state.deferred_commands}"
         )
         return lines
--- a/bayford/coordination/leader/worker_commands.py
+++ b/bayford/coordination/leader/worker_commands.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from bayford.coordination.leader.leader_state import LeaderState
-from bayford.protocol import workers
+from bayford.protocol import message_sizes, workers
 from bayford.scheduling.model import EPS, AttemptKey, Machine
 
 IDLE_HOLD_SHARE = 0.75  # maximum hold of an idle machine's heartbeat, as a share of the heartbeat interval
@@ -37,33 +37,56 @@
             if machine is None or not self._state.leader:
                 return PendingCommands([], False)
             phases = self._state.reported_phases[index]
-            commands = self._list_stops_and_reaps(machine, phases)
-            gated = self._add_starts(commands, machine, phases, arrival)
+            stops_and_reaps = self._list_stops_and_reaps(machine, phases)
+            starts, gated = self._list_starts(machine, phases, arrival)
+            commands, deferred = message_sizes.bounded_commands(stops_and_reaps, starts, phases)
+            self._state.deferred_commands += deferred
             return PendingCommands(commands, gated)
 
     def _list_stops_and_reaps(self, machine: Machine, phases: dict[AttemptKey, str]) -> list[workers.Command]:
-        commands: list[workers.Command] = []
+        """Return the stops and reaps for the attempts in the machine's last heartbeat.
+
+        Stops of cancelled jobs come first, since they have a time limit. Stops of attempts that are already
+        saving a checkpoint come last, because they are repeated until the attempt ends.
+        """
+        cancelled: list[workers.Command] = []
+        others: list[workers.Command] = []
+        repeated: list[workers.Command] = []
         for key, phase in phases.items():
             placement = machine.open.get(key)
             task_id, attempt = key
             if phase == workers.ENDED:
-                job_id, task = workers.parse_task_id(task_id) or ("", 0)
-                if placement is None and not self._state.is_uncommitted(job_id, task):
-                    commands.append(workers.Reap(task_id, attempt))
+                if placement is None and self._may_reap(task_id):
+                    others.append(workers.Reap(task_id, attempt))
             elif placement is None:
-                commands.append(workers.Stop(task_id, attempt, 0.0))
+                stops = cancelled if self._is_job_over(task_id) else others
+                stops.append(workers.Stop(task_id, attempt, 0.0))
             elif placement.stopping:
-                commands.append(workers.Stop(task_id, attempt, placement.stop_grace_s))
-        return commands
-
-    def _add_starts(
-        self, commands: list[workers.Command], machine: Machine, phases: dict[AttemptKey, str], arrival: float
-    ) -> bool:
-        """Append the starts that may be sent, and return whether others have to wait for the gate.
+                is_repeated = phase == workers.CHECKPOINTING and placement.stop_grace_s > 0
+                stops = cancelled if placement.job.cancelled else repeated if is_repeated else others
+                stops.append(workers.Stop(task_id, attempt, placement.stop_grace_s))
+        return cancelled + others + repeated
+
+    def _may_reap(self, task_id: str) -> bool:
+        """Return whether the end of the task's attempt is durable, so that the worker may forget it."""
+        job_id, task = workers.parse_task_id(task_id) or ("", 0)
+        return not self._state.is_uncommitted(job_id, task)
+
+    def _is_job_over(self, task_id: str) -> bool:
+        """Return whether the task's job is cancelled, or is no longer or not yet known."""
+        job_id, _ = workers.parse_task_id(task_id) or ("", 0)
+        job = self._state.jobs.get(job_id)
+        return job is None or job.cancelled
+
+    def _list_starts(
+        self, machine: Machine, phases: dict[AttemptKey, str], arrival: float
+    ) -> tuple[list[workers.Start], bool]:
+        """Return the starts that may be sent, and whether others have to wait for the gate.
 
         The gate: a start is sent only if this controller was the verified leader at some time after the
         heartbeat arrived, and the placement is durable and still open.
         """
+        starts = []
         gated = False
         for key, placement in machine.open.items():
             if key in phases or not placement.durable or placement.epoch != machine.epoch:
@@ -73,9 +96,9 @@
             if self._state.verified_at <= arrival:
                 gated = True
                 continue
-            commands.append(workers.Start(placement.task_id, placement.attempt))
+            starts.append(workers.Start(placement.task_id, placement.attempt))
             self._state.starts += 1
-        return gated
+        return starts, gated
 
     def stop_commands_for(self, index: int, cancelled_alone: bool = False) -> DirectCommands | None:
         """Return the stops to send to this machine in a direct command, or None if there are none.
--- a/bayford/coordination/status_log.py
+++ b/bayford/coordination/status_log.py
@@ -1,10 +1,10 @@
 """Logs periodically which jobs wait and why, and how many requests this controller sends to the store."""
 
 import logging
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 
 from bayford.coordination.leader.scheduler import Scheduler
-from bayford.coordination.workers.relay import RelayReason
+from bayford.coordination.workers.relay import Relay, RelayReason
 from bayford.storage.counting_store import CountingStore
 
 log = logging.getLogger(__name__)
@@ -20,14 +20,14 @@
         scheduler: Scheduler,
         stores: Iterable[CountingStore],
         refused_submissions: Callable[[], int],
-        relayed_machines: Callable[[], Mapping[RelayReason, int]],
+        relay: Relay,
     ) -> None:
         """`refused_submissions`: returns how many submissions this controller's admission control has refused
-        so far. `relayed_machines`: returns the number of machines that this controller relays, by reason."""
+        so far."""
         self._scheduler = scheduler
         self._stores = tuple(stores)
         self._refused_submissions = refused_submissions
-        self._relayed_machines = relayed_machines
+        self._relay = relay
 
     def step(self) -> float:
         """Log the status once. Returns the seconds until the next report."""
@@ -46,7 +46,11 @@
         refused = self._refused_submissions()
         if refused:
             log.info("submissions refused for overload: count=%d", refused)
-        relayed = self._relayed_machines()
+        relayed = self._relay.counts()
         if relayed:
-            log.info("relaying: %s", " ".join(f"{reason}={relayed.get(reason, 0)}" for reason in RelayReason))
+            log.info(
+                "relaying: %s deferred_commands=%d",
+                " ".join(f"{reason}={relayed.get(reason, 0)}" for reason in RelayReason),
+                self._relay.deferred_commands,
+            )
         return PERIOD_S
--- a/bayford/coordination/workers/relay.py
+++ b/bayford/coordination/workers/relay.py
@@ -11,12 +11,12 @@
 import logging
 import threading
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
 from bayford.clock import NEVER
 from bayford.coordination.store_limits import StoreLimits
-from bayford.protocol import mesh, workers
+from bayford.protocol import mesh, message_sizes, workers
 from bayford.storage import records
 from bayford.storage.key_value_store import Put, Row
 from bayford.storage.watch_cache import WatchCache
@@ -109,6 +109,7 @@
         self._published_at = NEVER
         self._key_count = 0  # number of keys last published; used only by the publishing thread
         self._known_cancelled: set[str] = set()
+        self._deferred_commands = 0
 
     def is_stale(self, heartbeat: workers.Heartbeat) -> bool:
         """Returns whether this or a newer heartbeat of the machine was seen here before; if not, records it.
@@ -202,7 +203,8 @@
         The watch cache must have been refreshed after the heartbeat arrived.
         """
         reported = {(task.task_id, task.attempt): task for task in heartbeat.tasks}
-        commands: list[workers.Command] = []
+        stops: list[workers.Command] = []
+        starts: list[workers.Start] = []
         placed: set[tuple[str, int]] = set()
         for placement in self._watch_cache.placements_on(heartbeat.machine):
             if placement.epoch != heartbeat.epoch:
@@ -210,16 +212,34 @@
             key = (workers.format_task_id(placement.job, placement.task), placement.attempt)
             placed.add(key)
             if not placement.cancelled and key not in reported:
-                commands.append(workers.Start(*key))
+                starts.append(workers.Start(*key))
             elif placement.cancelled and key in reported and reported[key].phase != workers.ENDED:
-                commands.append(workers.Stop(*key, 0.0))
-        commands += [
+                stops.append(workers.Stop(*key, 0.0))
+        reaps = [
             workers.Reap(*key)
             for key, task in reported.items()
             if key not in placed and task.phase == workers.ENDED
         ]
+        return self._bounded([*stops, *reaps], starts, reported)
+
+    def _bounded(
+        self,
+        stops_and_reaps: list[workers.Command],
+        starts: list[workers.Start],
+        reported: Collection[tuple[str, int]],
+    ) -> list[workers.Command]:
+        """Returns the commands that fit into one response, and counts the others."""
+        commands, deferred = message_sizes.bounded_commands(stops_and_reaps, starts, reported)
+        with self._lock:
+            self._deferred_commands += deferred
         return commands
 
+    @property
+    def deferred_commands(self) -> int:
+        """The number of commands so far that did not fit into a response and were left to a later one."""
+        with self._lock:
+            return self._deferred_commands
+
     def on_cancelled(self, jobs: Iterable[str]) -> None:
         """Record cancellations confirmed by another controller; the watch cache may not have them yet."""
         with self._lock:
@@ -240,7 +260,7 @@
             cancelled = job_id in known_cancelled or self._watch_cache.is_cancelled(job_id)
             if task.phase != workers.ENDED and cancelled:
                 commands.append(workers.Stop(task.task_id, task.attempt, 0.0))
-        return commands
+        return self._bounded(commands, [], ())
 
     def publish(self) -> list[Put]:
         """Returns the writes that pass heartbeats to the leader, none if not due. Called by one thread."""
--- a/bayford/protocol/jobs.py
+++ b/bayford/protocol/jobs.py
@@ -13,10 +13,10 @@
 from bayford.storage.records import JobState
 
 MAX_TASKS = 100_000
-MAX_BODY = 64 * 1024  # bytes
 MAX_NAME = 200  # characters
+MAX_JOB_ID_CHARS = 68
 MAX_AMOUNT = 1e12
-JOB_ID_PATTERN = re.compile(r"req-[A-Za-z0-9_-]{1,64}", re.ASCII)
+JOB_ID_PATTERN = re.compile(rf"req-[A-Za-z0-9_-]{{1,{MAX_JOB_ID_CHARS - len('req-')}}}", re.ASCII)
 SUBMIT_PATH = "/api/jobs"
 CANCEL = "cancel"
 HEALTH_PATH = "/up"
--- a/bayford/protocol/workers.py
+++ b/bayford/protocol/workers.py
@@ -94,6 +94,11 @@
     return heartbeat
 
 
+def encode_command(command: Command) -> bytes:
+    """One command as it stands in the message to the worker."""
+    return _encoder.encode(command)
+
+
 class _Commands(msgspec.Struct):
     fencing_token: int = msgspec.field(name="baton")
     epoch: int = msgspec.field(name="shift")
--- a/bayford/transport/http_server.py
+++ b/bayford/transport/http_server.py
@@ -10,12 +10,12 @@
 from http.server import BaseHTTPRequestHandler
 
 from bayford.clock import NEVER
+from bayford.protocol.message_sizes import MAX_MESSAGE_BYTES
 
 log = logging.getLogger(__name__)
 
 IDLE_S = 40.0  # how long a connection waits for a request, unless its last response sets `idle_s`
 REQUEST_TIMEOUT_S = 5.0  # timeout of each read after the first line of a request, and of sending a response
-MAX_BODY = 64 * 1024  # bytes
 MAX_LINE = 8 * 1024  # bytes
 MAX_HEADERS = 64
 MAX_CHUNK_SIZE_LINE = 64  # bytes
@@ -166,7 +166,7 @@
         if not length_text.isdigit():
             raise HttpError(400, "bad content-length")
         length = int(length_text)
-        if length > MAX_BODY:
+        if length > MAX_MESSAGE_BYTES:
             raise HttpError(413, "body over 64 KiB")
         body = self.rfile.read(length) if length else b""
         if len(body) < length:
@@ -180,7 +180,7 @@
                 size = int(self.rfile.readline(MAX_CHUNK_SIZE_LINE).split(b";")[0], 16)
             except ValueError as error:
                 raise HttpError(400, "bad chunk") from error
-            if size < 0 or len(body) + size > MAX_BODY:
+            if size < 0 or len(body) + size > MAX_MESSAGE_BYTES:
                 raise HttpError(413, "body over 64 KiB")
             if size == 0:
                 while self.rfile.readline(MAX_LINE) not in (b"\r\n", b"\n", b""):
--- a/tests/fakes/cluster.py
+++ b/tests/fakes/cluster.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
-import msgspec
 import orjson
 
 from bayford.clock import NEVER
@@ -71,6 +70,7 @@
 list_lag_s = 6.0
 """
 
+MAX_MESSAGE_BYTES = 64 * 1024  # of a request body and of a line of a response, as PROTOCOL has it
 LIMITS = {"red": 8.0, "blue": 16.0, "open": float("inf")}
 
 
@@ -303,11 +303,16 @@
                 self.executing_response_sent_at = late.sent_at
                 worker.receive(late.response, late.sent_at, late.epoch, late.node)
                 self.executing_response_sent_at = None
-        heartbeat = worker.heartbeat()
+        body = worker.encoded_heartbeat()
         sent = self.clock.now
         after = worker.last_response_at.get(node, NEVER)
+        if len(body) > MAX_MESSAGE_BYTES:
+            worker.refused_reports += 1
+            return 413
+        heartbeat = workers.parse_heartbeat(body)
         self.sent_heartbeats = [*self.sent_heartbeats[-200:], heartbeat]
         reply = self.nodes[node].heartbeat(encoded_copy(heartbeat), after)
+        assert len(reply.body) <= MAX_MESSAGE_BYTES, f"a response to a worker of {len(reply.body)} bytes"
         if worker.name not in self.workers or worker.unresponsive:
             return 0
         if self.response_delay_s:
@@ -342,12 +347,13 @@
         worker = self.workers.get(address.partition(":")[0])
         if worker is None or worker.unresponsive or worker.hung or (worker.name, node) in self.network_cuts:
             return None
+        assert len(body) <= MAX_MESSAGE_BYTES, f"a direct command of {len(body)} bytes"
         request = orjson.loads(body)
         if request["baton"] >= worker.fencing_token and request["shift"] == worker.epoch:
             worker.fencing_token = request["baton"]
             for command in request["orders"]:
                 worker.execute(command)
-        return msgspec.json.encode(worker.heartbeat())
+        return worker.encoded_heartbeat()
 
     def replay(self, heartbeat: workers.Heartbeat, node: str) -> None:
         """Deliver a copy of an old heartbeat late, on a separate connection; the response is not read."""
--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -21,6 +22,9 @@
     return msgspec.convert(msgspec.to_builtins(heartbeat), workers.Heartbeat)
 
 
+Encode = Callable[[dict[str, Any]], bytes]  # writes a message as JSON
+
+
 @dataclass
 class Attempt:
     """An attempt to run a task on a worker."""
@@ -65,6 +69,15 @@
     fails_starts: bool = False  # every attempt ends immediately with `failure_reason`
     failure_reason: str = "error"
     response_in_flight: InFlightResponse | None = None
+    encode: Encode = msgspec.json.encode  # how it writes its heartbeats
+    longest_report: int = 0  # bytes of its longest heartbeat so far
+    refused_reports: int = 0  # heartbeats over the size limit
+
+    def encoded_heartbeat(self) -> bytes:
+        """The next heartbeat as the body of a request or response."""
+        body = self.encode(msgspec.to_builtins(self.heartbeat()))
+        self.longest_report = max(self.longest_report, len(body))
+        return body
 
     def heartbeat(self) -> workers.Heartbeat:
         self.sequence += 1
--- /dev/null
+++ b/tests/test_message_sizes.py
@@ -0,0 +1,178 @@
+"""Messages to and from workers keep to PROTOCOL's limit of 64 KiB, and the work on full machines gets done.
+
+The fake cluster refuses a longer heartbeat with 413, and fails a test in which a controller sends a longer
+message.
+"""
+
+import json
+from typing import Any
+
+import msgspec
+import pytest
+from cluster_helpers import leader_and_other, leader_of
+from fakes.cluster import Cluster
+from fakes.scenarios import run_for, running_tasks, started_cluster
+from fakes.worker import Attempt
+
+from bayford.protocol import message_sizes, workers
+
+CPUS = 0.001  # of a task that is so small that only the sizes of messages bound how many fit on a machine
+LONGEST_JOB_ID = "req-" + "x" * 64
+LARGEST_INTEGER = 2**64 - 1
+
+
+def spaced_and_reordered(message: dict[str, Any]) -> bytes:
+    """JSON with a space after each comma and colon, the fields in another order, and the slash escaped."""
+    fields = dict(reversed(message.items()))
+    fields["parts"] = [dict(reversed(task.items())) for task in message["parts"]]
+    return json.dumps(fields).replace("/", "\\/").encode()
+
+
+def indented(message: dict[str, Any]) -> bytes:
+    """JSON with each field on a line of its own, without the fields that PROTOCOL lets a worker omit."""
+    return json.dumps(json.loads(without_optional_fields(message)), indent=2).encode()
+
+
+def without_optional_fields(message: dict[str, Any]) -> bytes:
+    """JSON without the fields that PROTOCOL lets a worker omit."""
+    tasks = [{key: value for key, value in t.items() if value not in (None, False)} for t in message["parts"]]
+    return msgspec.json.encode(message | {"parts": tasks})
+
+
+def small_tasks(cluster: Cluster, number: int, parts: int, **fields: Any) -> bytes:
+    """The body of a submission of a job of many small tasks."""
+    defaults = {"crew": "blue", "parts": parts, "cpus": CPUS, "mem_gb": 0.0, "guess_s": 500.0}
+    return cluster.job(number, **defaults | fields)
+
+
+def finish_all(cluster: Cluster) -> None:
+    """Complete all tasks that run."""
+    for task_id in running_tasks(cluster):
+        cluster.finish(task_id)
+
+
+def run_to_completion(cluster: Cluster, job_id: str, max_rounds: int) -> int:
+    """Complete the tasks that run until the job is done; returns the number of rounds that this took.
+
+    No round takes longer than 5 s, and after each of them no heartbeat may have been refused.
+    """
+    for completed_rounds in range(1, max_rounds + 1):
+        finish_all(cluster)
+        run_for(cluster, 5.0, cloud=False)
+        assert not any(worker.refused_reports for worker in cluster.workers.values())
+        if all(cluster.query(name, job_id) == "done" for name in cluster.nodes):
+            return completed_rounds
+    raise AssertionError(f"not done: {job_id} after {max_rounds} rounds")
+
+
+# Guards against a line of over 64 KiB to a worker, and against heartbeats that every controller refuses.
+def test_a_job_of_more_small_tasks_than_a_machine_can_report_is_done_on_one_machine() -> None:
+    cluster = started_cluster(machines=1)
+    worker = cluster.first_worker()
+    cluster.submit("n0", small_tasks(cluster, 1, 1600))
+    run_for(cluster, 4.0, cloud=False)
+    assert 500 <= len(worker.running()) < 1600, "as many as can be reported"
+    assert worker.epoch == 1
+    assert run_to_completion(cluster, "req-000001", max_rounds=4) <= 4
+    assert worker.epoch == 1, "the lease never expires"
+
+
+# Guards against a bound that holds only for short names and small integers.
+@pytest.mark.parametrize("encode", [msgspec.json.encode, spaced_and_reordered])
+def test_the_longest_names_and_largest_integers_fit_into_the_messages_of_a_full_machine(encode: Any) -> None:
+    cluster = started_cluster(machines=1)
+    worker = cluster.first_worker()
+    worker.encode = encode
+    state = leader_of(cluster).scheduler.state
+    state.next_attempt = LARGEST_INTEGER - 100_000
+    cluster.submit("n0", small_tasks(cluster, 1, 1000, id=LONGEST_JOB_ID))
+    run_for(cluster, 4.0, cloud=False)
+    running = len(worker.running())
+    assert running >= message_sizes.MIN_REPORTABLE_TASKS
+    for attempt in worker.tasks.values():
+        attempt.phase, attempt.reason, attempt.checkpointed = "ended", "incomplete", False
+    assert len(worker.encode(msgspec.to_builtins(worker.heartbeat()))) <= 64 * 1024
+    for attempt in worker.tasks.values():
+        attempt.phase, attempt.reason, attempt.checkpointed = "running", None, False
+    run_to_completion(cluster, LONGEST_JOB_ID, max_rounds=4)
+    assert worker.epoch == 1
+
+
+# Guards against a bound that holds only for the JSON of our own stand-in.
+def test_an_indented_heartbeat_of_a_full_machine_fits() -> None:
+    cluster = started_cluster(machines=1)
+    worker = cluster.first_worker()
+    worker.encode = indented
+    leader_of(cluster).scheduler.state.next_attempt = 1_000_000
+    cluster.submit("n0", small_tasks(cluster, 1, 1000))
+    run_for(cluster, 4.0, cloud=False)
+    run_to_completion(cluster, "req-000001", max_rounds=4)
+    assert worker.epoch == 1
+
+
+# Guards against starts beside ended tasks that the worker still lists.
+def test_a_machine_whose_ended_tasks_cannot_be_reaped_yet_gets_no_more_starts_than_it_can_report() -> None:
+    cluster = started_cluster(machines=1)
+    worker = cluster.first_worker()
+    cluster.submit("n0", small_tasks(cluster, 1, 1600))
+    run_for(cluster, 4.0, cloud=False)
+    finish_all(cluster)
+    cluster.store.down = True  # the ends can't be made durable, so that nothing is reaped
+    run_for(cluster, 4.0, cloud=False)
+    assert len(worker.tasks) >= 500 and not worker.running()
+    cluster.store.down = False
+    run_to_completion(cluster, "req-000001", max_rounds=5)
+    assert worker.epoch == 1
+
+
+# Guards against stops of over 64 KiB, and against some of them being left out again and again.
+def test_stops_that_do_not_fit_into_one_response_are_sent_in_the_following_ones() -> None:
+    cluster = started_cluster(machines=1)
+    worker = cluster.first_worker()
+    worker.encode = without_optional_fields
+    cluster.submit("n0", small_tasks(cluster, 1, 2))
+    run_for(cluster, 3.0, cloud=False)
+    cluster.specs["req-old"] = cluster.specs["req-000001"]
+    for number in range(1250):  # attempts that the leader does not know
+        worker.tasks[f"req-old/{number}", 1] = Attempt(f"req-old/{number}", 1, "running")
+    assert cluster.heartbeat(worker) == 200
+    ended = sum(attempt.phase == "ended" for attempt in worker.tasks.values())
+    assert 1000 < ended < 1250, "what does not fit is left to the next response"
+    # Reaped at once: entries of ended attempts are longer, and this many of them could not be reported.
+    worker.tasks = {key: attempt for key, attempt in worker.tasks.items() if attempt.phase != "ended"}
+    assert cluster.heartbeat(worker) == 200
+    assert worker.running() == ["req-000001/0", "req-000001/1"]
+    assert f"deferred_commands={1250 - ended}" in leader_of(cluster).scheduler.waiting_report()[-1]
+
+
+# Guards against a relay that sends a machine more starts than it can report.
+def test_a_relay_starts_no_more_tasks_than_a_machine_can_report() -> None:
+    cluster = started_cluster(machines=1, nodes=3)
+    worker = cluster.first_worker()
+    leader, _, other = leader_and_other(cluster)
+    cluster.submit(other, small_tasks(cluster, 1, 1600))
+    cluster.step_controller(leader)  # the placements are durable, nothing is started
+    cluster.network_cuts.add((worker.name, leader))
+    run_for(cluster, 15.0, cloud=False)
+    assert 500 <= len(worker.running()) < 1600
+    assert run_to_completion(cluster, "req-000001", max_rounds=12) <= 12
+    assert worker.epoch == 1
+
+
+def test_commands_are_deferred_in_the_order_of_their_harm() -> None:
+    stops: list[workers.Command] = [workers.Stop(f"{LONGEST_JOB_ID}/{n}", 1, 0.0) for n in range(1000)]
+    starts = [workers.Start(f"{LONGEST_JOB_ID}/{n}", 1) for n in range(1000)]
+    chosen = message_sizes.bounded_commands(stops, starts, [])
+    assert chosen.commands == stops[: len(chosen.commands)]
+    assert chosen.deferred == 2000 - len(chosen.commands)
+    assert len(workers.encode_response(LARGEST_INTEGER, chosen.commands)) <= 64 * 1024
+    longest = message_sizes.LONGEST_COMMAND_BYTES
+    assert len(workers.encode_response(1, stops[: len(chosen.commands) + 1])) > 64 * 1024 - 2 * longest
+
+
+@pytest.mark.parametrize("listed", [0, 100, 365, 366, 367, 1000])
+def test_the_starts_that_are_sent_can_be_reported_beside_the_listed_tasks(listed: int) -> None:
+    listed_keys = [(f"{LONGEST_JOB_ID}/{n + 20_000}", 1) for n in range(listed)]
+    starts = [workers.Start(f"{LONGEST_JOB_ID}/{n + 10_000}", LARGEST_INTEGER) for n in range(400)]
+    chosen = message_sizes.bounded_commands([], starts, listed_keys).commands
+    assert len(chosen) == max(0, min(400, message_sizes.MIN_REPORTABLE_TASKS - listed))
