Treat the room in a machine's report as a resource, like its CPUs

What callers saw: with a site of three machines, a job of 1,200 tiny tasks ran 557 at a time on one machine while the others stood idle; the rest was placed on the first one too and waited there. A gang of 1,200 never was complete, an urgent task on a fleet of such machines did not start, though every machine had CPUs left.

Fix: `Machine.free_report_bytes` is what the tasks placed on the machine, and the attempts that it still lists without a placement (ended ones until they are reaped, and unknown ones), leave of the 64 KiB; `Job.report_bytes` is the longest entry of its tasks. `has_room`, `reserve` and `release` take the job and count it, so that every way to place a task has it (arrays, by cost, by zone, services, gangs, hints of migrations); preemption counts what its victims give back; the balancer's resources have a fourth component. A machine that can't report the shortest entry leaves the capacity index. A new leader counts what an earlier release has placed: such a machine has less than nothing left, gets nothing new and no start beyond the bound, and its started work goes on.

Tests that built hosts or machines by hand give the fourth component, 0, or pass the job; nothing else changed in them.

--- a/bayford/coordination/leader/balancer.py
+++ b/bayford/coordination/leader/balancer.py
@@ -11,7 +11,7 @@
 from bayford.coordination.leader.migrator import Migrator
 from bayford.protocol import workers
 from bayford.scheduling import placement_rules, tempered
-from bayford.scheduling.model import EPS, GANG, SERVICE, AttemptKey, Job, Machine
+from bayford.scheduling.model import EPS, GANG, SERVICE, AttemptKey, Job, Machine, Resources
 
 log = logging.getLogger(__name__)
 
@@ -100,10 +100,10 @@
         spec = job.spec
         zone_counts = placement_rules.placements_by_zone(job, state.zone_of)
         allowed_machines = placement_rules.candidates(job, usable, zone_counts, now)
-        if any(machine.has_room(spec) for machine in allowed_machines):
+        if any(machine.has_room(job) for machine in allowed_machines):
             return None  # a task fits without migrations and will be placed in a coming round
         state.balancing_jobs += 1
-        demand = (spec.cpus, spec.gpus, spec.mem_gb)
+        demand = job.demand
         limits = tempered.SearchLimits(
             state.policy.balance_trials, state.policy.balance_iterations, max_moves
         )
@@ -123,7 +123,7 @@
         return best
 
     def _find_sources(
-        self, job: Job, demand: tempered.Resources, machines: list[Machine], hosts: dict[int, tempered.Host]
+        self, job: Job, demand: Resources, machines: list[Machine], hosts: dict[int, tempered.Host]
     ) -> list[int]:
         """Return the machines where migrations could free enough room, at most `balance_sources`, those that
         lack the fewest CPUs first."""
@@ -152,9 +152,8 @@
             spec = placement.job.spec
             movable = spec.shape == SERVICE or (spec.checkpoint_interval_s > 0 and spec.shape != GANG)
             if movable and placement.running_since is not None and not placement.stopping:
-                items.append(tempered.Item(placement.key, (spec.cpus, spec.gpus, spec.mem_gb)))
-        free = (machine.free_cpus, machine.free_gpus, machine.free_mem)
-        return tempered.Host(machine.index, machine.cpus, free, items)
+                items.append(tempered.Item(placement.key, placement.job.demand))
+        return tempered.Host(machine.index, machine.cpus, machine.free, items)
 
     def can_move(self, key: AttemptKey, target: int) -> bool:
         """Return whether the task may be migrated to the machine `target` under the rules of its job. The
--- a/bayford/coordination/leader/heartbeat_handler.py
+++ b/bayford/coordination/leader/heartbeat_handler.py
@@ -11,7 +11,7 @@
 from bayford.coordination.leader.machine_health import MachineHealth
 from bayford.coordination.leader.task_reconciliation import TaskReconciliation
 from bayford.coordination.leadership.transfer import WorkerContact
-from bayford.protocol import workers
+from bayford.protocol import message_sizes, workers
 from bayford.scheduling.model import AttemptKey, Machine, SentCommand
 
 log = logging.getLogger(__name__)
@@ -55,16 +55,28 @@
             if not is_command_response and not relay:
                 self._health.check_acknowledged(machine, phases)
             self._update_machine(machine, heartbeat, relay, now)
-            for task in heartbeat.tasks:
-                placement = machine.open.get((task.task_id, task.attempt))
-                if placement is not None:
-                    self._tasks.reconcile(machine, placement, task, now)
+            self._reconcile_tasks(machine, heartbeat.tasks, now)
             state.reported_phases[machine.index] = phases
             self._close_unstarted(machine, phases, sent_after)
             if not machine.open and machine.idle_since <= 0:
                 machine.idle_since = now
             return machine.index
 
+    def _reconcile_tasks(self, machine: Machine, tasks: list[workers.TaskState], now: float) -> None:
+        """Apply the states of all tasks that the machine lists, and what room they leave in its heartbeat."""
+        unplaced_bytes = 0
+        open_placements = machine.open
+        for task in tasks:
+            placement = open_placements.get((task.task_id, task.attempt))
+            if placement is not None:
+                self._tasks.reconcile(machine, placement, task, now)
+                if task.phase != workers.ENDED:
+                    continue
+            unplaced_bytes += message_sizes.report_entry_bytes(task.task_id)
+        if unplaced_bytes != machine.unplaced_report_bytes:
+            machine.set_unplaced_report_bytes(unplaced_bytes)
+            self._state.capacity_index.update(machine)
+
     def on_answered(self, index: int, heartbeat: workers.Heartbeat, commands: list[workers.Command]) -> None:
         """Record that a heartbeat is answered with these commands.
 
--- a/bayford/coordination/leader/job_records.py
+++ b/bayford/coordination/leader/job_records.py
@@ -7,6 +7,7 @@
 
 from bayford.coordination.leader.leader_state import LeaderState
 from bayford.coordination.leader.recovered_state import RecoveredState
+from bayford.protocol import message_sizes
 from bayford.scheduling.model import SERVICE, Job
 from bayford.spread.restarts import UnreadableCountsError
 from bayford.storage import records
@@ -146,6 +147,7 @@
             created=created,
             created_wall=record.created,
             version=version,
+            report_bytes=message_sizes.longest_report_entry_bytes(spec.id, spec.tasks),
         )
 
     def _load_placements(self, job: Job, progress: Progress, now: float) -> None:
--- a/bayford/coordination/leader/leader_state.py
+++ b/bayford/coordination/leader/leader_state.py
@@ -216,7 +216,7 @@
         job.open[placement.task] = placement
         machine.open[placement.key] = placement
         machine.idle_since = 0.0
-        machine.reserve(job.spec)
+        machine.reserve(job)
         self.capacity_index.update(machine)
         self.quotas[job.team].reserve(job.spec)
 
@@ -231,7 +231,7 @@
         self.stopping.pop(placement, None)
         if job.open.get(placement.task) is placement:
             del job.open[placement.task]
-        machine.release(job.spec)
+        machine.release(job)
         self.capacity_index.update(machine)
         self.quotas[job.team].release(job.spec)
         if not machine.open:
--- a/bayford/coordination/leader/load_spreader.py
+++ b/bayford/coordination/leader/load_spreader.py
@@ -128,9 +128,7 @@
 
     def _build_host(self, snapshot: MachineSnapshot, now: float) -> tempered.Host:
         items = [
-            tempered.Item(
-                placement.key, (placement.job.spec.cpus, placement.job.spec.gpus, placement.job.spec.mem_gb)
-            )
+            tempered.Item(placement.key, placement.job.demand)
             for placement in self._state.machines[snapshot.index].open.values()
             if self._is_movable(placement, now)
         ]
--- a/bayford/coordination/leader/machine_registry.py
+++ b/bayford/coordination/leader/machine_registry.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Iterable, Mapping, Sequence
 
+from bayford.protocol import message_sizes
 from bayford.scheduling.capacity_index import CapacityIndex
 from bayford.scheduling.model import AttemptKey, Interner, Job, Machine, MachineType
 
@@ -34,7 +35,7 @@
     def clear_machines(self) -> None:
         """Remove all machines. Names, their indices and types are kept."""
         self.machines: dict[int, Machine] = {}  # by machine index
-        self.capacity_index = CapacityIndex()  # machines with free CPUs or GPUs
+        self.capacity_index = CapacityIndex(message_sizes.SHORTEST_REPORT_ENTRY_BYTES)
         self.reclaim_pending: dict[int, Machine] = {}  # by machine index: with a reclaim notice
         # By machine index: the phase of each attempt in the last heartbeat.
         self.reported_phases: dict[int, dict[AttemptKey, str]] = {}
@@ -48,7 +49,14 @@
         index = self.machine_names.index(name)
         machine = self.machines.get(index)
         if machine is None:
-            machine = Machine(index, name, last_heartbeat_at=now, launched_at=now, idle_since=now)
+            machine = Machine(
+                index,
+                name,
+                last_heartbeat_at=now,
+                launched_at=now,
+                idle_since=now,
+                free_report_bytes=message_sizes.MAX_REPORT_ENTRIES_BYTES,
+            )
             machine.images = {self.images.index(i): True for i in self.summarized_images.get(name, ())}
             for image in machine.images:
                 self.capacity_index.add_image(machine, image)
--- a/bayford/coordination/leader/task_placer.py
+++ b/bayford/coordination/leader/task_placer.py
@@ -131,7 +131,7 @@
         is no hint or the machine can't take the task any longer."""
         hint = job.migration_targets.pop(job.waiting[-1], None)
         machine = None if hint is None else self._state.machines.get(hint)
-        return machine if machine is not None and machine.has_room(job.spec) and can_take(machine) else None
+        return machine if machine is not None and machine.has_room(job) and can_take(machine) else None
 
     def _place_by_zone(self, job: Job, count: int, machines: list[Machine], now: float) -> None:
         """Place tasks of an array that is restricted to one zone or spread over zones. Each placement changes
@@ -143,7 +143,7 @@
             zone_counts = placement_rules.placements_by_zone(job, self._state.zone_of)
             machines = placement_rules.candidates(job, machines, zone_counts, now)
             hint = job.migration_targets.pop(job.waiting[-1], None)
-            hinted = [m for m in machines if m.index == hint and m.has_room(job.spec)]
+            hinted = [m for m in machines if m.index == hint and m.has_room(job)]
             machine = hinted[0] if hinted else placement_rules.first_with_room(job, machines)
             if machine is None:
                 job.waiting_reason = NO_ROOM
@@ -162,7 +162,7 @@
             fitting = [
                 m
                 for m in machines
-                if m.has_room(job.spec)
+                if m.has_room(job)
                 and m.zone is not None
                 and placement_rules.zone_allowed(job, m.zone, zone_counts)
             ]
--- a/bayford/coordination/leader/task_reconciliation.py
+++ b/bayford/coordination/leader/task_reconciliation.py
@@ -29,11 +29,11 @@
     ) -> None:
         """Apply the state of a placed task, as reported in a heartbeat of its machine."""
         placement.started = True
-        if status.phase == workers.FETCHING:
+        if status.phase == workers.RUNNING:
+            self._on_running(machine, placement, now)
+        elif status.phase == workers.FETCHING:
             machine.images.setdefault(placement.job.image, False)
             self._state.capacity_index.add_image(machine, placement.job.image)
-        elif status.phase == workers.RUNNING:
-            self._on_running(machine, placement, now)
         elif status.phase == workers.ENDED:
             self._on_ended(machine, placement, status, now)
 
--- a/bayford/coordination/leader/worker_commands.py
+++ b/bayford/coordination/leader/worker_commands.py
@@ -39,6 +39,8 @@
             phases = self._state.reported_phases[index]
             stops_and_reaps = self._list_stops_and_reaps(machine, phases)
             starts, gated = self._list_starts(machine, phases, arrival)
+            if not stops_and_reaps and not starts:
+                return PendingCommands([], gated)
             commands, deferred = message_sizes.bounded_commands(stops_and_reaps, starts, phases)
             self._state.deferred_commands += deferred
             return PendingCommands(commands, gated)
@@ -52,8 +54,11 @@
         cancelled: list[workers.Command] = []
         others: list[workers.Command] = []
         repeated: list[workers.Command] = []
+        open_placements = machine.open
         for key, phase in phases.items():
-            placement = machine.open.get(key)
+            placement = open_placements.get(key)
+            if placement is not None and not placement.stopping and phase != workers.ENDED:
+                continue  # most attempts
             task_id, attempt = key
             if phase == workers.ENDED:
                 if placement is None and self._may_reap(task_id):
@@ -61,11 +66,11 @@
             elif placement is None:
                 stops = cancelled if self._is_job_over(task_id) else others
                 stops.append(workers.Stop(task_id, attempt, 0.0))
-            elif placement.stopping:
+            else:
                 is_repeated = phase == workers.CHECKPOINTING and placement.stop_grace_s > 0
                 stops = cancelled if placement.job.cancelled else repeated if is_repeated else others
                 stops.append(workers.Stop(task_id, attempt, placement.stop_grace_s))
-        return cancelled + others + repeated
+        return [*cancelled, *others, *repeated] if cancelled or repeated else others
 
     def _may_reap(self, task_id: str) -> bool:
         """Return whether the end of the task's attempt is durable, so that the worker may forget it."""
--- a/bayford/scheduling/capacity_index.py
+++ b/bayford/scheduling/capacity_index.py
@@ -36,7 +36,9 @@
 class CapacityIndex:
     """The machines with free CPUs or GPUs. The lock of the leader's state must be held."""
 
-    def __init__(self) -> None:
+    def __init__(self, min_report_bytes: int = 0) -> None:
+        """`min_report_bytes`: with fewer left in its heartbeat, a machine takes no task of any job."""
+        self._min_report_bytes = min_report_bytes
         self.machines: dict[int, Machine] = {}
         self._keys: dict[int, BucketKey] = {}
         self._buckets: dict[BucketKey, _Bucket] = {}
@@ -50,7 +52,8 @@
         """Update the index after a change of the machine's free capacity, type, zone or spot flag."""
         old_key = self._keys.get(machine.index)
         new_key: BucketKey | None = None
-        if machine.free_cpus > EPS or machine.free_gpus > EPS:
+        can_report = machine.free_report_bytes >= self._min_report_bytes
+        if can_report and (machine.free_cpus > EPS or machine.free_gpus > EPS):
             new_key = BucketKey(machine.type, machine.zone, machine.spot, round(machine.free_cpus, 4))
         if new_key == old_key:
             return
@@ -130,7 +133,7 @@
         holders = (
             machine
             for machine in map(self.machines.get, self._holders.get(job.image, ()))
-            if machine is not None and machine.has_room(job.spec) and may_take(machine)
+            if machine is not None and machine.has_room(job) and may_take(machine)
         )
         for machine in heapq.nsmallest(count, holders, key=lambda m: (-m.free_cpus / m.cpus, m.index)):
             candidates[machine.index] = machine
@@ -145,7 +148,7 @@
             fitting = (
                 machine
                 for machine in map(self.machines.get, holders)
-                if machine is not None and machine.has_room(job.spec) and may_take(machine)
+                if machine is not None and machine.has_room(job) and may_take(machine)
             )
             return heapq.nsmallest(count, fitting, key=lambda machine: placement_rules.score(job, machine))
         # So many machines hold the image that iterating in the order of the score finds enough of them early.
@@ -184,6 +187,6 @@
             same_rank = [entry[2].indices for entry in fitting[begin:end]]
             for index in same_rank[0] if len(same_rank) == 1 else heapq.merge(*same_rank):
                 machine = self.machines[index]
-                if machine.has_room(spec):
+                if machine.has_room(job):
                     yield machine
             begin = end
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -25,6 +25,8 @@
 # Task name and attempt number. A plain tuple, because one is created for each task of each heartbeat.
 AttemptKey = tuple[str, int]
 
+Resources = tuple[float, float, float, int]  # CPUs, GPUs, GB of memory, bytes of the machine's heartbeat
+
 
 class Interner:
     """Two-way table between names and dense indices. An index always keeps its name."""
@@ -166,6 +168,7 @@
     cancel_learned_at: float = 0.0  # when this controller learned of the cancellation
     version: int = 0  # version of its record in the key-value store
     placed_at: float = NEVER  # when a task of the job was last placed
+    report_bytes: int = 0  # of a machine's heartbeat that the entry of one task may take
     not_before: float = 0.0  # back-off: no task of the job is placed before this time
     errors: int = 0  # number of task failures
     backoff_count: int = 0  # number of back-offs of the whole job so far; each one lasts longer
@@ -184,6 +187,11 @@
     has_spot_machines: bool = True
     waiting_reason: str = ""  # reason that the log gives for the wait
 
+    @property
+    def demand(self) -> Resources:
+        """What one task takes of its machine."""
+        return (self.spec.cpus, self.spec.gpus, self.spec.mem_gb, self.report_bytes)
+
     @property
     def is_service(self) -> bool:
         """Whether the job is a service, which runs until it is cancelled."""
@@ -265,6 +273,9 @@
     free_cpus: float = 0.0  # capacity not reserved by placements; may be negative while the type is unknown
     free_gpus: float = 0.0
     free_mem: float = 0.0  # GB
+    # Bytes of its heartbeat that are left for further tasks; negative if an earlier release placed too many.
+    free_report_bytes: int = 0
+    unplaced_report_bytes: int = 0  # taken by listed attempts without an open placement, mostly ended ones
     backoff_until: float = 0.0  # no task is placed on the machine before this time
     reserved_for: str = ""  # id of the job for which capacity is being freed on the machine
     reserved_until: float = 0.0  # until then, only tasks of that job are placed on the machine
@@ -274,6 +285,11 @@
         """Epoch and sequence number of its newest heartbeat, by which heartbeats are ordered."""
         return (self.epoch, self.sequence)
 
+    @property
+    def free(self) -> Resources:
+        """What is not reserved by placements."""
+        return (self.free_cpus, self.free_gpus, self.free_mem, self.free_report_bytes)
+
     @property
     def usable(self) -> bool:
         """Whether new tasks may be placed on the machine."""
@@ -284,22 +300,36 @@
             and self.reclaim_at is None
         )
 
-    def reserve(self, spec: JobSpec) -> None:
-        """Reserve the capacity of one task."""
+    def reserve(self, job: Job) -> None:
+        """Reserve the capacity of one task of the job."""
+        spec = job.spec
+        self.free_report_bytes -= job.report_bytes
         self.free_cpus -= spec.cpus
         self.free_gpus -= spec.gpus
         self.free_mem -= spec.mem_gb
 
-    def release(self, spec: JobSpec) -> None:
-        """Release the reserved capacity of one task."""
+    def release(self, job: Job) -> None:
+        """Release the reserved capacity of one task of the job."""
+        spec = job.spec
+        self.free_report_bytes += job.report_bytes
         self.free_cpus += spec.cpus
         self.free_gpus += spec.gpus
         self.free_mem += spec.mem_gb
 
-    def has_room(self, spec: JobSpec) -> bool:
-        """Returns whether the unreserved capacity suffices for one task."""
+    def set_unplaced_report_bytes(self, report_bytes: int) -> None:
+        """Set how much of the last heartbeat is taken by attempts without an open placement.
+
+        They keep their entries until they are reaped.
+        """
+        self.free_report_bytes += self.unplaced_report_bytes - report_bytes
+        self.unplaced_report_bytes = report_bytes
+
+    def has_room(self, job: Job) -> bool:
+        """Returns whether the unreserved capacity suffices for one task of the job."""
+        spec = job.spec
         return (
             spec.cpus <= self.free_cpus + EPS
             and spec.gpus <= self.free_gpus + EPS
             and spec.mem_gb <= self.free_mem + EPS
+            and job.report_bytes <= self.free_report_bytes
         )
--- a/bayford/scheduling/placement_rules.py
+++ b/bayford/scheduling/placement_rules.py
@@ -79,7 +79,7 @@
     The order stays valid while the job's tasks fill one machine after the other: a placement on the best
     machine leaves it with fewer free CPUs, which improves its score.
     """
-    return sorted((m for m in machines if m.has_room(job.spec)), key=lambda m: score(job, m))
+    return sorted((m for m in machines if m.has_room(job)), key=lambda m: score(job, m))
 
 
 def first_with_room(job: Job, machines: list[Machine]) -> Machine | None:
@@ -88,7 +88,7 @@
     Machines before it are removed from the list. Returns None if none has free capacity.
     """
     while machines:
-        if machines[0].has_room(job.spec):
+        if machines[0].has_room(job):
             return machines[0]
         machines.pop(0)
     return None
@@ -142,12 +142,12 @@
             machine = first_with_room(job, ranked(job, allowed))
             if machine is None:
                 break
-            machine.reserve(job.spec)
+            machine.reserve(job)
             chosen.append(machine)
             zone = machine.zone if machine.zone is not None else -1
             zone_counts[zone] = zone_counts.get(zone, 0) + 1
         for machine in chosen:
-            machine.release(job.spec)
+            machine.release(job)
         if len(chosen) == count:
             return chosen
     return None
--- a/bayford/scheduling/preemption.py
+++ b/bayford/scheduling/preemption.py
@@ -113,10 +113,16 @@
     """
     spec = waiting.spec
     cpus, gpus, mem_gb = machine.free_cpus, machine.free_gpus, machine.free_mem
+    report_bytes = machine.free_report_bytes
     remaining = iter(sorted(candidates, key=lambda victim: victim.loss / max(victim.job.spec.cpus, 0.1)))
     chosen: list[Victim] = []
     loss = 0.0
-    while not (cpus + EPS >= spec.cpus and gpus + EPS >= spec.gpus and mem_gb + EPS >= spec.mem_gb):
+    while not (
+        cpus + EPS >= spec.cpus
+        and gpus + EPS >= spec.gpus
+        and mem_gb + EPS >= spec.mem_gb
+        and report_bytes >= waiting.report_bytes
+    ):
         victim = next(remaining, None)
         if victim is None or len(chosen) == max_victims:
             return None
@@ -126,4 +132,5 @@
         cpus += victim_spec.cpus
         gpus += victim_spec.gpus
         mem_gb += victim_spec.mem_gb
+        report_bytes += victim.job.report_bytes
     return PreemptionOption(machine.index, chosen, loss) if chosen else None
--- a/bayford/scheduling/tempered.py
+++ b/bayford/scheduling/tempered.py
@@ -11,9 +11,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
-from bayford.scheduling.model import EPS
-
-Resources = tuple[float, float, float]  # CPUs, GPUs, GB of memory
+from bayford.scheduling.model import EPS, Resources
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,17 +73,22 @@
 
 def add(a: Resources, b: Resources) -> Resources:
     """Returns the component-wise sum."""
-    return (a[0] + b[0], a[1] + b[1], a[2] + b[2])
+    return (a[0] + b[0], a[1] + b[1], a[2] + b[2], a[3] + b[3])
 
 
 def sub(a: Resources, b: Resources) -> Resources:
     """Returns the component-wise difference `a - b`."""
-    return (a[0] - b[0], a[1] - b[1], a[2] - b[2])
+    return (a[0] - b[0], a[1] - b[1], a[2] - b[2], a[3] - b[3])
 
 
 def fits(demand: Resources, free: Resources) -> bool:
     """Returns whether `free` suffices for `demand` in every resource."""
-    return demand[0] <= free[0] + EPS and demand[1] <= free[1] + EPS and demand[2] <= free[2] + EPS
+    return (
+        demand[0] <= free[0] + EPS
+        and demand[1] <= free[1] + EPS
+        and demand[2] <= free[2] + EPS
+        and demand[3] <= free[3]
+    )
 
 
 def imbalance(loads: Iterable[float]) -> float:
--- a/bayford/spread/machine_snapshot.py
+++ b/bayford/spread/machine_snapshot.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from bayford.scheduling.model import Machine
+from bayford.scheduling.model import Machine, Resources
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,7 +19,7 @@
     reserved: float  # share of the CPUs that is reserved by placements
     running: float  # share of the CPUs in use according to the last heartbeat
     pending_cpus: float  # CPUs of placed tasks that no heartbeat has reported yet
-    free: tuple[float, float, float]  # CPUs, GPUs, GB of memory
+    free: Resources
     images: frozenset[int]
     fetching: frozenset[int]
     heartbeat_age_s: float  # seconds since the last heartbeat
@@ -52,7 +52,7 @@
         reserved=1.0 - machine.free_cpus / cpus if cpus > 0 else 1.0,
         running=running / cpus if cpus > 0 else 1.0,
         pending_cpus=pending_cpus,
-        free=(machine.free_cpus, machine.free_gpus, machine.free_mem),
+        free=machine.free,
         images=frozenset(image for image, fetched in machine.images.items() if fetched),
         fetching=frozenset(image for image, fetched in machine.images.items() if not fetched),
         heartbeat_age_s=now - machine.last_heartbeat_at,
--- a/bayford/spread/score.py
+++ b/bayford/spread/score.py
@@ -92,7 +92,7 @@
             self._push(machine)
 
     def _push(self, machine: Machine) -> None:
-        if machine.cpus > EPS and machine.has_room(self._job.spec):
+        if machine.cpus > EPS and machine.has_room(self._job):
             cost = self.cost(machine)
             heapq.heappush(self._heap, (cost.total, machine.index, machine, cost))
 
@@ -114,7 +114,7 @@
         """
         while self._heap:
             _, _, machine, cost = heapq.heappop(self._heap)
-            if machine.has_room(self._job.spec):
+            if machine.has_room(self._job):
                 return Choice(machine, cost, self._load_with_task(machine))
         return None
 
--- a/tests/test_capacity_index.py
+++ b/tests/test_capacity_index.py
@@ -131,10 +131,10 @@
             capacity_index.update(machine)
         elif machine.index not in present_machines:
             continue
-        elif event == "reserve" and machine.has_room(reserving_job.spec):
-            machine.reserve(reserving_job.spec)
+        elif event == "reserve" and machine.has_room(reserving_job):
+            machine.reserve(reserving_job)
         elif event == "release" and machine.free_cpus < CPUS:
-            machine.release(reserving_job.spec)
+            machine.release(reserving_job)
         elif event == "image":
             machine.images[image] = True
             capacity_index.add_image(machine, image)
--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -9,12 +9,13 @@
 
 import msgspec
 import pytest
-from cluster_helpers import leader_and_other, leader_of
+from cluster_helpers import kill_controller, leader_and_other, leader_of
 from fakes.cluster import Cluster
 from fakes.scenarios import run_for, running_tasks, started_cluster
 from fakes.worker import Attempt
 
 from bayford.protocol import message_sizes, workers
+from bayford.scheduling.policy import Policy
 
 CPUS = 0.001  # of a task that is so small that only the sizes of messages bound how many fit on a machine
 LONGEST_JOB_ID = "req-" + "x" * 64
@@ -176,3 +177,83 @@
     starts = [workers.Start(f"{LONGEST_JOB_ID}/{n + 10_000}", LARGEST_INTEGER) for n in range(400)]
     chosen = message_sizes.bounded_commands([], starts, listed_keys).commands
     assert len(chosen) == max(0, min(400, message_sizes.MIN_REPORTABLE_TASKS - listed))
+
+
+def reports_fit(cluster: Cluster) -> bool:
+    """Whether no worker had a heartbeat refused or lost its lease, and each machine's tasks are in bounds."""
+    machines = leader_of(cluster).scheduler.state.machines.values()
+    in_bounds = all(machine.free_report_bytes >= 0 for machine in machines)
+    return in_bounds and not any(w.refused_reports or w.epoch > 1 for w in cluster.workers.values())
+
+
+# Guards against each way to place tasks that fills one machine beyond what it can report, while others idle.
+@pytest.mark.parametrize(
+    ("policy", "fields"),
+    [
+        ({}, {}),
+        ({"spread": True}, {}),
+        ({}, {"together": True}),
+        ({}, {"shape": "gang"}),
+        ({}, {"shape": "daemon", "rank": "critical", "guess_s": 0.0}),
+    ],
+    ids=["array", "array by cost", "array in one zone", "gang", "service"],
+)
+def test_small_tasks_beyond_the_bound_of_one_machine_run_on_the_others(
+    policy: dict[str, Any], fields: dict[str, Any]
+) -> None:
+    cluster = started_cluster(machines=3, policy=Policy(hold_s=0.0, hold_idle_s=0.0, **policy))
+    cluster.submit("n0", small_tasks(cluster, 1, 1200, **fields))
+    run_for(cluster, 15.0, cloud=False)
+    assert len(running_tasks(cluster)) == 1200
+    assert reports_fit(cluster)
+
+
+# Guards against a search over machines that have CPUs left but can't report another task.
+def test_a_machine_that_can_report_no_further_task_is_not_searched() -> None:
+    cluster = started_cluster(machines=1)
+    state = leader_of(cluster).scheduler.state
+    assert len(state.capacity_index) == 1
+    cluster.submit("n0", small_tasks(cluster, 1, 1600))
+    run_for(cluster, 4.0, cloud=False)
+    assert len(state.capacity_index) == 0 and state.machines[0].free_cpus > 1.0
+    finish_all(cluster)
+    cluster.heartbeat(cluster.first_worker())
+    longest = message_sizes.LONGEST_REPORT_ENTRY_BYTES
+    assert state.machines[0].free_report_bytes < 10 * longest, "ended tasks are listed until they are reaped"
+    assert reports_fit(cluster)
+
+
+# Guards against urgent work that waits because a machine full of small tasks has CPUs left.
+def test_urgent_work_preempts_small_tasks_on_machines_that_can_report_no_more() -> None:
+    cluster = started_cluster(machines=2)
+    cluster.submit("n0", small_tasks(cluster, 1, 1600))
+    run_for(cluster, 4.0, cloud=False)
+    cluster.submit("n0", small_tasks(cluster, 2, 2, rank="urgent", id=LONGEST_JOB_ID))
+    run_for(cluster, 30.0, cloud=False)
+    assert sum(task_id.startswith(LONGEST_JOB_ID) for task_id in running_tasks(cluster)) == 2
+    assert reports_fit(cluster)
+
+
+# Guards against a new leader that starts what an earlier release has placed beyond the bound, or that lets
+# the machine lose its lease again and again.
+def test_a_machine_filled_by_an_earlier_release_keeps_its_tasks_and_gets_no_further_ones() -> None:
+    cluster = started_cluster(machines=1, nodes=2)
+    worker = cluster.first_worker()
+    leader, _, other = leader_and_other(cluster)
+    state = cluster.nodes[leader].scheduler.state
+    cluster.submit(leader, small_tasks(cluster, 1, 1200))
+    cluster.nodes[leader].watch_cache.pull(0.0)
+    state.jobs["req-000001"].report_bytes = 0  # as a release without the bound
+    cluster.step_controller(leader)
+    assert len(state.machines[0].open) == 1200
+    run_for(cluster, 1.0, cloud=False)
+    started = set(worker.running())
+    assert 500 <= len(started) < 1200
+    kill_controller(cluster, leader)
+    run_for(cluster, 12.0, cloud=False)
+    assert cluster.require_leader() == other
+    assert set(worker.running()) == started, "its started tasks go on, no others are sent"
+    assert leader_of(cluster).scheduler.state.machines[0].free_report_bytes < 0
+    run_to_completion(cluster, "req-000001", max_rounds=6)
+    assert worker.epoch == 1
+    assert leader_of(cluster).scheduler.state.machines[0].free_report_bytes >= 0
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -35,7 +35,7 @@
     chooser = Chooser(job, fleet, average, weights, lambda machine: FETCH_S)
     chosen: list[Machine] = []
     while len(chosen) < count and (choice := chooser.next()) is not None:
-        choice.machine.reserve(job.spec)
+        choice.machine.reserve(job)
         choice.machine.images.setdefault(job.image, False)
         chosen.append(choice.machine)
         chooser.return_machine(choice)
@@ -71,7 +71,7 @@
     chosen = choose(job, candidates, count, Weights()) if candidates else []
     assert all(may_take(machine) for machine in chosen)
     assert all(m.free_cpus >= -1e-6 and m.free_mem >= -1e-6 for m in fleet)
-    fits = [m for m in fleet if may_take(m) and m.has_room(job.spec)]
+    fits = [m for m in fleet if may_take(m) and m.has_room(job)]
     assert len(chosen) == count or not fits, (
         "fewer machines than tasks only if no eligible machine has capacity left"
     )
@@ -139,9 +139,9 @@
     for index in range(draw(st.integers(2, 8))):
         cpus = draw(st.sampled_from([4.0, 8.0]))
         tasks = draw(st.lists(st.sampled_from([0.5, 1.0, 2.0]), max_size=int(cpus / 2)))
-        items = [Item((f"req-{index}/{n}", 1), (need, 0.0, need)) for n, need in enumerate(tasks)]
+        items = [Item((f"req-{index}/{n}", 1), (need, 0.0, need, 0)) for n, need in enumerate(tasks)]
         free = cpus - sum(tasks)
-        drawn.append(Host(index, cpus, (free, 0.0, free), items))
+        drawn.append(Host(index, cpus, (free, 0.0, free, 0), items))
     return drawn
 
 
@@ -210,19 +210,21 @@
     The highest load decreases only when the last of them is relieved, so it must not be the only criterion.
     """
     fleet = [
-        Host(n, 4.0, (0.0, 0.0, 0.0), [Item((f"req-{n}/{t}", 1), (1.0, 0.0, 1.0)) for t in range(4)])
+        Host(n, 4.0, (0.0, 0.0, 0.0, 0), [Item((f"req-{n}/{t}", 1), (1.0, 0.0, 1.0, 0)) for t in range(4)])
         for n in range(3)
     ]
-    fleet += [Host(n, 4.0, (4.0, 0.0, 4.0), []) for n in range(3, 12)]
+    fleet += [Host(n, 4.0, (4.0, 0.0, 4.0, 0), []) for n in range(3, 12)]
     plan = rebalance(fleet, 2.0, SearchLimits(4, 3, 1), lambda key, target: True, random.Random(1))
     assert plan is not None
     assert len(plan.relocations) == 1
 
 
 def test_no_plan_is_made_when_no_migration_helps() -> None:
-    balanced = [Host(n, 4.0, (3.0, 0.0, 3.0), [Item((f"req-{n}/0", 1), (1.0, 0.0, 1.0))]) for n in range(4)]
-    one_large = [Host(n, 4.0, (4.0, 0.0, 4.0), []) for n in range(3)]
-    one_large.append(Host(3, 4.0, (0.0, 0.0, 0.0), [Item(("req-9/0", 1), (4.0, 0.0, 4.0))]))
+    balanced = [
+        Host(n, 4.0, (3.0, 0.0, 3.0, 0), [Item((f"req-{n}/0", 1), (1.0, 0.0, 1.0, 0))]) for n in range(4)
+    ]
+    one_large = [Host(n, 4.0, (4.0, 0.0, 4.0, 0), []) for n in range(3)]
+    one_large.append(Host(3, 4.0, (0.0, 0.0, 0.0, 0), [Item(("req-9/0", 1), (4.0, 0.0, 4.0, 0))]))
     for fleet in (balanced, one_large):
         for seed in range(20):
             assert (
--- a/tests/test_tempered.py
+++ b/tests/test_tempered.py
@@ -12,9 +12,9 @@
 
 def host(index: int, cpus: float, *items: float) -> Host:
     """A host whose movable tasks use these numbers of CPUs, and equal amounts of memory in GB."""
-    tasks = [Item((f"req-{index}/{n}", 1), (c, 0.0, c)) for n, c in enumerate(items)]
+    tasks = [Item((f"req-{index}/{n}", 1), (c, 0.0, c, 0)) for n, c in enumerate(items)]
     used = sum(items)
-    return Host(index, cpus, (cpus - used, 0.0, cpus - used), tasks)
+    return Host(index, cpus, (cpus - used, 0.0, cpus - used, 0), tasks)
 
 
 def test_imbalance_is_equation_1() -> None:
@@ -45,7 +45,7 @@
 
 
 def test_fewest_migrations_order() -> None:
-    items = [Item((f"t{n}", 1), (c, 0.0, 0.0)) for n, c in enumerate([1, 5, 3, 2, 8])]
+    items = [Item((f"t{n}", 1), (c, 0.0, 0.0, 0)) for n, c in enumerate([1, 5, 3, 2, 8])]
     loads = [i.demand[0] for i in tempered.order_fewest(items, lambda i: i.demand[0], 2.5)]
     assert loads == [3, 2, 1, 5, 8], (
         "smallest sufficient, then lighter ones descending, then heavier ones ascending"
@@ -58,7 +58,9 @@
 
 def test_a_worked_example_moves_one_task() -> None:
     hosts = [host(0, 4, 2, 1, 1), host(1, 4, 1), host(2, 4, 2)]
-    plan = tempered.free_room(hosts, 0, (2.0, 0.0, 2.0), SearchLimits(8, 3, 3), ALLOW_ALL, random.Random(1))
+    plan = tempered.free_room(
+        hosts, 0, (2.0, 0.0, 2.0, 0), SearchLimits(8, 3, 3), ALLOW_ALL, random.Random(1)
+    )
     assert plan is not None
     assert [m.key[0] for m in plan.moves] == ["req-0/0"]
     assert plan.moves[0].target == 1, "a migration to host 2 would only swap the loads"
@@ -69,13 +71,13 @@
 
 def test_every_resource_must_fit_and_the_job_must_allow_the_target() -> None:
     hosts = [host(0, 4, 2, 2), host(1, 4)]
-    hosts[1].free = (4.0, 0.0, 1.0)
+    hosts[1].free = (4.0, 0.0, 1.0, 0)
     counts = SearchLimits(8, 3, 3)
-    assert tempered.free_room(hosts, 0, (2.0, 0.0, 2.0), counts, ALLOW_ALL, random.Random(1)) is None
-    hosts[1].free = (4.0, 0.0, 4.0)
+    assert tempered.free_room(hosts, 0, (2.0, 0.0, 2.0, 0), counts, ALLOW_ALL, random.Random(1)) is None
+    hosts[1].free = (4.0, 0.0, 4.0, 0)
     deny_all = lambda key, target: False  # noqa: E731
-    assert tempered.free_room(hosts, 0, (2.0, 0.0, 2.0), counts, deny_all, random.Random(1)) is None
-    assert tempered.free_room(hosts, 0, (2.0, 0.0, 2.0), counts, ALLOW_ALL, random.Random(1)) is not None
+    assert tempered.free_room(hosts, 0, (2.0, 0.0, 2.0, 0), counts, deny_all, random.Random(1)) is None
+    assert tempered.free_room(hosts, 0, (2.0, 0.0, 2.0, 0), counts, ALLOW_ALL, random.Random(1)) is not None
 
 
 @pytest.mark.parametrize("seed", range(20))
@@ -99,7 +101,7 @@
 
 def test_best_of_trials_is_no_worse_than_any_single_trial() -> None:
     hosts = [host(0, 8, 3, 3), host(1, 8, 2), host(2, 8, 1), host(3, 8, 4)]
-    need = (5.0, 0.0, 5.0)
+    need = (5.0, 0.0, 5.0, 0)
     rng = random.Random(5)
     state = rng.getstate()
     best = tempered.free_room(hosts, 0, need, SearchLimits(10, 1, 4), ALLOW_ALL, rng)
@@ -112,3 +114,16 @@
 
 def test_the_budget_rounds_up_and_permits_a_move_while_any_task_runs() -> None:
     assert [tempered.budget(n, 0.02) for n in (0, 1, 50, 51, 150)] == [0, 1, 1, 2, 3]
+
+
+def test_migrations_free_room_in_a_heartbeat_and_only_to_machines_that_have_some() -> None:
+    """A full task list is as much a lack of room as CPUs in use, at the source and at the target."""
+    items = [Item((f"req-0/{n}", 1), (0.5, 0.0, 0.0, 100)) for n in range(4)]
+    limits = SearchLimits(8, 3, 1)
+    for target_bytes, moves in ((99, 0), (100, 1)):
+        source = Host(0, 4.0, (2.0, 0.0, 4.0, 50), items)
+        target = Host(1, 4.0, (4.0, 0.0, 4.0, target_bytes), [])
+        plan = tempered.free_room(
+            [source, target], 0, (0.5, 0.0, 0.0, 120), limits, ALLOW_ALL, random.Random(1)
+        )
+        assert (0 if plan is None else len(plan.moves)) == moves
