Count the tasks that a machine can report when the fleet is scaled

What callers saw: 2,204 tiny tasks of 500 s each, with one machine of four CPUs there, got one machine (551 ran, the others waited until these ended) or, as urgent ones, two. By CPUs they were a backlog of a second.

Cause: demand, backlog and the machines for services were computed from CPUs, cards and memory alone, so that tasks which fill a machine's report and leave its CPUs idle needed no machine. Seen on the fakes: no launch in 20 s, `backlog_s` under `patience_s`.

Fix: `scaling.slots` takes the number of tasks that a machine can report; `scaling.fleet_cpus` is what one task uses up of the fleet: its CPUs, or its share of the CPUs of the smallest machine for it once that can report no more tasks. Backlog, demand for on-demand machines and preemptible capacity use it. A task of ordinary size has its CPUs as before (one CPU is over a hundred times that share on a machine of four), so that ordinary sites launch the same machines.

Two sets that were created on each placement and thrown away are not any more.

--- a/bayford/coordination/leader/leader_state.py
+++ b/bayford/coordination/leader/leader_state.py
@@ -253,7 +253,10 @@
 
     def mark_dirty(self, job: Job, task: int) -> None:
         """Mark the task's state as changed, so that the next commit writes it."""
-        self.dirty.setdefault(job.spec.id, set()).add(task)
+        tasks = self.dirty.get(job.spec.id)
+        if tasks is None:
+            tasks = self.dirty[job.spec.id] = set()
+        tasks.add(task)
 
     def is_uncommitted(self, job_id: str, task: int) -> bool:
         """Return whether the latest change of the task is not durable yet."""
--- a/bayford/coordination/leader/service_capacity.py
+++ b/bayford/coordination/leader/service_capacity.py
@@ -4,8 +4,9 @@
 
 from bayford.coordination.leader.leader_state import LeaderState
 from bayford.coordination.leader.waiting_demand import pools_for
+from bayford.protocol import message_sizes
 from bayford.scheduling import scaling
-from bayford.scheduling.model import Job, JobSpec, Machine
+from bayford.scheduling.model import Job, Machine
 from bayford.scheduling.scaling import MachinePool, PooledMachine, ServiceGroup
 
 MachineCounts = dict[
@@ -35,12 +36,12 @@
             pools = pools_for(self._state, job)
             service_pools.append(pools)
             with_reserve = job.spec.tasks * (1.0 + self._state.policy.service_share)
-            self._add_replicas(counts, pools, job.spec, with_reserve)
+            self._add_replicas(counts, pools, job, with_reserve)
         boot_s = min(
             (machine_type.boot_s for machine_type in self._state.types if machine_type.zones), default=0.0
         )
         for job in self._recent_services(now, boot_s):
-            self._add_replicas(counts, pools_for(self._state, job), job.spec, job.spec.tasks)
+            self._add_replicas(counts, pools_for(self._state, job), job, job.spec.tasks)
         if self._state.objectives.service_classes or service_pools:
             self._add_floor(counts, service_pools, boot_s)
         return [ServiceGroup(pools, machines) for pools, machines in counts.items()]
@@ -53,13 +54,17 @@
         return [state.jobs[spec.id] for _, spec in state.recent_services if spec.id in state.jobs]
 
     def _add_replicas(
-        self, counts: MachineCounts, pools: frozenset[MachinePool], spec: JobSpec, replicas: float
+        self, counts: MachineCounts, pools: frozenset[MachinePool], job: Job, replicas: float
     ) -> None:
         if not pools or any(pool.spot for pool in pools):
             return  # services that may use spot machines are served by the rest of the fleet
+        spec = job.spec
+        max_per_machine = message_sizes.reportable_tasks(job.report_bytes)
         machines = counts.setdefault(pools, {})
         for type_index in {pool.type for pool in pools}:
-            per_machine = scaling.slots(self._state.types[type_index], spec.cpus, spec.gpus, spec.mem_gb)
+            per_machine = scaling.slots(
+                self._state.types[type_index], spec.cpus, spec.gpus, spec.mem_gb, max_per_machine
+            )
             machines[type_index] = machines.get(type_index, 0.0) + replicas / max(1, per_machine)
 
     def _add_floor(
--- a/bayford/coordination/leader/waiting_demand.py
+++ b/bayford/coordination/leader/waiting_demand.py
@@ -6,7 +6,8 @@
 
 from bayford.coordination.leader.leader_state import LeaderState
 from bayford.coordination.leader.scheduling_queue import SchedulingQueue
-from bayford.scheduling import placement_rules
+from bayford.protocol import message_sizes
+from bayford.scheduling import placement_rules, scaling
 from bayford.scheduling.model import EPS, URGENT, Job
 from bayford.scheduling.scaling import Demand, MachinePool, PooledMachine
 
@@ -140,7 +141,9 @@
         host_cpus = sum(fleet.pool_cpus.get(pool, 0.0) for pool in pools)
         spot_cpus = sum(fleet.pool_cpus.get(pool, 0.0) for pool in pools if pool.spot)
         job.has_spot_machines = spot_cpus > 0
-        on_demand = 0 if job.is_service else self._count_on_demand_tasks(job, count, pools, fleet, now)
+        max_per_machine = message_sizes.reportable_tasks(job.report_bytes)
+        cpus = scaling.fleet_cpus(job.spec.cpus, pools, self._state.types, max_per_machine)
+        on_demand = 0 if job.is_service else self._count_on_demand_tasks(job, count, cpus, pools, fleet, now)
         urgent = job.spec.priority >= URGENT
         return Demand(
             pools=pools,
@@ -153,8 +156,10 @@
             on_demand=on_demand,
             host_cpus=host_cpus,
             spot_cpus=spot_cpus,
-            preemptible_cpus=fleet.take_preemptible(pools, count * job.spec.cpus) if urgent else 0.0,
+            preemptible_cpus=fleet.take_preemptible(pools, count * cpus) if urgent else 0.0,
             is_service=job.is_service,
+            max_per_machine=max_per_machine,
+            fleet_cpus=cpus,
         )
 
     def _find_allowed_pools(self, job: Job) -> frozenset[MachinePool]:
@@ -169,15 +174,21 @@
         return pools
 
     def _count_on_demand_tasks(
-        self, job: Job, count: int, pools: frozenset[MachinePool], fleet: _FleetCapacity, now: float
+        self,
+        job: Job,
+        count: int,
+        cpus: float,
+        pools: frozenset[MachinePool],
+        fleet: _FleetCapacity,
+        now: float,
     ) -> int:
-        """Returns how many of the job's tasks justify on-demand machines.
+        """Returns how many of the job's tasks justify on-demand machines; each uses up `cpus` of the fleet.
 
         On-demand machines are launched only if the deadline would be missed without them and can still be met
         with them, and only as many as that requires.
         """
         run_s = self._state.expected_run_s(job)
-        fleet.backlog_cpu_s += count * job.spec.cpus * run_s
+        fleet.backlog_cpu_s += count * cpus * run_s
         due_s = self._state.due_s(job)
         if due_s is None:
             return 0
@@ -189,8 +200,8 @@
         if slack_s <= 0 or age_s + boot_s + run_s >= due_s:
             return 0
         lacking_cpus = fleet.backlog_cpu_s / slack_s - fleet.cpus
-        on_demand = min(count, max(0, math.ceil(lacking_cpus / max(job.spec.cpus, 0.1))))
-        fleet.cpus += on_demand * job.spec.cpus
+        on_demand = min(count, max(0, math.ceil(lacking_cpus / max(cpus, 0.1))))
+        fleet.cpus += on_demand * cpus
         return on_demand
 
 
@@ -204,7 +215,9 @@
         cpus += machine.cpus
     for pool, count in state.launching.items():
         cpus += state.types[pool.type].cpus * count
-    work_cpu_s = sum(demand.tasks * demand.cpus * demand.run_s for demand in demands if not demand.is_service)
+    work_cpu_s = sum(
+        demand.tasks * demand.fleet_cpus * demand.run_s for demand in demands if not demand.is_service
+    )
     if cpus:
         return work_cpu_s / cpus
     return NO_FLEET_BACKLOG_S if work_cpu_s else 0.0
--- a/bayford/protocol/message_sizes.py
+++ b/bayford/protocol/message_sizes.py
@@ -111,6 +111,11 @@
     return report_entry_bytes(workers.format_task_id(job_id, tasks - 1))
 
 
+def reportable_tasks(entry_bytes: int) -> int:
+    """How many tasks a machine can report whose entries take up to `entry_bytes` each."""
+    return MAX_REPORT_ENTRIES_BYTES // entry_bytes
+
+
 def reportable_starts(
     starts: Sequence[workers.Start], listed: Collection[TaskKey]
 ) -> Sequence[workers.Start]:
--- a/bayford/scheduling/capacity_index.py
+++ b/bayford/scheduling/capacity_index.py
@@ -72,7 +72,10 @@
 
     def add_image(self, machine: Machine, image: int) -> None:
         """Record that the machine holds the image or is fetching it."""
-        self._holders.setdefault(image, set()).add(machine.index)
+        holders = self._holders.get(image)
+        if holders is None:
+            holders = self._holders[image] = set()
+        holders.add(machine.index)
 
     def remove_image(self, machine: Machine, image: int) -> None:
         """Record that the machine no longer has the image."""
--- a/bayford/scheduling/scaling.py
+++ b/bayford/scheduling/scaling.py
@@ -1,7 +1,7 @@
 """Decides which machines to launch and when to delete idle ones. Pure: callers count demand and machines."""
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -10,6 +10,7 @@
 MIN_CHARGE_S = 60.0  # minimum time that the cloud charges for a machine, however early it is deleted
 MAX_PER_LAUNCH = 50  # machines in one launch plan
 BOOT_COST_S = 4 * MIN_CHARGE_S  # boot time that counts as a doubling of a machine's price
+UNLIMITED_TASKS = 10**9  # more tasks than any machine takes
 ON_DEMAND_KEEP_SHARE = 0.4  # keep time of an idle on-demand machine, as a share of that of a spot machine
 
 
@@ -37,6 +38,7 @@
     cpus: float  # per task, like gpus and mem_gb
     gpus: float
     mem_gb: float
+    fleet_cpus: float  # per task: CPUs of the fleet that it uses up, see `fleet_cpus`
     run_s: float  # expected run time of one task
     urgent: bool
     on_demand: int  # number of tasks that would miss their deadline without on-demand machines
@@ -44,10 +46,11 @@
     spot_cpus: float  # the part of `host_cpus` that belongs to spot machines
     preemptible_cpus: float = 0.0  # CPUs that the tasks may get by preempting other work
     is_service: bool = False  # the tasks are replicas of a service, which never end
+    max_per_machine: int = UNLIMITED_TASKS  # tasks that a machine of any type can report
 
     def slots_on(self, machine_type: MachineType) -> int:
         """Returns how many of the tasks fit on an empty machine of this type."""
-        return slots(machine_type, self.cpus, self.gpus, self.mem_gb)
+        return slots(machine_type, self.cpus, self.gpus, self.mem_gb, self.max_per_machine)
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,9 +70,12 @@
     reason: str
 
 
-def slots(machine_type: MachineType, cpus: float, gpus: float, mem_gb: float) -> int:
-    """Returns how many tasks of this size fit on an empty machine of this type."""
-    limit = 1e9
+def slots(machine_type: MachineType, cpus: float, gpus: float, mem_gb: float, max_per_machine: int) -> int:
+    """Returns how many tasks of this size fit on an empty machine of this type.
+
+    `max_per_machine`: how many such tasks a machine can report, whatever its type.
+    """
+    limit = float(max_per_machine)
     if cpus > 0:
         limit = min(limit, (machine_type.cpus + EPS) / cpus)
     if gpus > 0:
@@ -79,6 +85,17 @@
     return int(limit)
 
 
+def fleet_cpus(
+    cpus: float, pools: Iterable[MachinePool], types: Sequence[MachineType], max_per_machine: int
+) -> float:
+    """Returns the CPUs of the fleet that one task uses up, in the smallest machine that may serve it.
+
+    They are its own CPUs, or its share of a machine that is full because it can report no more tasks.
+    """
+    machine_cpus = min((types[pool.type].cpus for pool in pools), default=0.0)
+    return max(cpus, machine_cpus / max_per_machine)
+
+
 def plan_launches(
     demands: Sequence[Demand],
     types: Sequence[MachineType],
@@ -106,7 +123,7 @@
     reasons: dict[MachinePool, str] = {}
     for demand in sorted(demands, key=lambda d: (not d.urgent, not d.on_demand, -d.run_s)):
         remaining = _assign_booting(demand, types, unassigned)
-        cpu_s = demand.tasks * demand.cpus * demand.run_s
+        cpu_s = demand.tasks * demand.fleet_cpus * demand.run_s
         demand_backlog_s = cpu_s / demand.host_cpus if demand.host_cpus else float("inf")
         if remaining <= 0 or (not demand.urgent and max(backlog_s, demand_backlog_s) < patience_s):
             continue
@@ -146,7 +163,7 @@
     no_spot = not demand.spot_cpus and not any(pool.spot for pool in demand.pools - refused)
     on_demand = remaining if backlog_exceeded or no_spot else min(remaining, demand.on_demand)
     if demand.urgent:
-        preemptible_tasks = int((demand.preemptible_cpus + EPS) / max(demand.cpus, EPS))
+        preemptible_tasks = int((demand.preemptible_cpus + EPS) / max(demand.fleet_cpus, EPS))
         on_demand = max(on_demand, remaining - preemptible_tasks)
     return on_demand
 
--- a/tests/test_launch_planning.py
+++ b/tests/test_launch_planning.py
@@ -17,6 +17,7 @@
         cpus=1.0,
         gpus=0.0,
         mem_gb=1.0,
+        fleet_cpus=1.0,
         run_s=20.0,
         urgent=False,
         on_demand=0,
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -3,9 +3,12 @@
 from typing import Any
 
 import pytest
+from fakes.cluster import Cluster
 from fakes.scenarios import run_for, running_tasks, started_cluster
 
+from bayford.protocol import message_sizes
 from bayford.protocol.cloud_api import NoCapacityError
+from bayford.scheduling import scaling
 
 
 def test_machines_are_launched_for_waiting_work_and_idle_ones_are_deleted() -> None:
@@ -83,3 +86,41 @@
     cluster.submit("n0", cluster.job(1, builds=["cards"], parts=1))
     run_for(cluster, 12.0)
     assert len(running_tasks(cluster)) == 1
+
+
+# Guards against a fleet that seems large enough for tiny tasks because its CPUs are.
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {},
+        {"rank": "urgent"},
+        {"loaners": False},
+        {"shape": "daemon", "rank": "critical", "guess_s": 0.0, "loaners": False},
+    ],
+    ids=["spot", "urgent", "on-demand", "service"],
+)
+def test_tiny_tasks_get_as_many_machines_as_tasks_that_need_as_many_for_their_cpus(
+    fields: dict[str, Any],
+) -> None:
+    machines = []
+    reportable = message_sizes.reportable_tasks(message_sizes.longest_report_entry_bytes("req-000001", 9999))
+    for parts, cpus in ((16, 1.0), (4 * reportable, 1e-5)):  # either job fills four machines
+        cluster = started_cluster(machines=1)
+        job = cluster.job(
+            1, **{"crew": "blue", "mem_gb": 0.0, "guess_s": 500.0} | fields, parts=parts, cpus=cpus
+        )
+        cluster.submit("n0", job)
+        run_for(cluster, 20.0)
+        assert len(running_tasks(cluster)) == parts
+        machines.append(len(cluster.workers))
+    assert machines[0] == machines[1]
+
+
+def test_a_task_uses_up_its_share_of_a_machine_that_can_report_no_more() -> None:
+    types = Cluster(1).cloud.catalog()
+    pools = [scaling.MachinePool(0, 0, True), scaling.MachinePool(1, 0, True)]
+    assert scaling.slots(types[0], 1.0, 0.0, 1.0, max_per_machine=100) == 4
+    assert scaling.slots(types[0], 0.01, 0.0, 0.0, max_per_machine=100) == 100
+    assert scaling.fleet_cpus(1.0, pools, types, max_per_machine=100) == 1.0, "as its CPUs say"
+    assert scaling.fleet_cpus(0.01, pools, types, max_per_machine=100) == 0.04, "a hundredth of four CPUs"
+    assert scaling.fleet_cpus(0.01, [], types, max_per_machine=100) == 0.01
