Send a machine's direct stops in as many messages as they take

What callers saw: on a machine that an earlier release had filled with 1,150 small tasks, a cancelled job's direct stops were one request of 72,565 bytes, which a worker may refuse; all of them counted as sent, so that none was sent directly again. They ended with the next heartbeat's response instead, if the machine could reach a controller.

Cause: `stop_commands_for` put all stops into one message and set `stop_sent` for every stopping placement, sent or not, started or not.

Fix: `take_stop_commands` returns what fits into one message, by the same function that bounds responses, stops of cancelled jobs first, and marks these alone; the sender goes on until none is left or a message is not answered.

Test: `test_stops_that_do_not_fit_into_one_direct_command_are_sent_in_several`, with a machine that can't send heartbeats; before: "a direct command of 72565 bytes".

--- a/bayford/coordination/leader/scheduler.py
+++ b/bayford/coordination/leader/scheduler.py
@@ -202,9 +202,9 @@
         """Return the commands for the response to the machine's heartbeat that arrived at `arrival`."""
         return self.commands.commands_for(index, arrival)
 
-    def stop_commands_for(self, index: int, cancelled_alone: bool = False) -> DirectCommands | None:
-        """Return the stop commands to send directly to the machine now, or None if there are none."""
-        return self.commands.stop_commands_for(index, cancelled_alone)
+    def take_stop_commands(self, index: int, cancelled_alone: bool = False) -> DirectCommands | None:
+        """Return the next stop commands to send directly to the machine, or None if there are none."""
+        return self.commands.take_stop_commands(index, cancelled_alone)
 
     def hold_s(self, index: int) -> float:
         """Return how many seconds the response to the machine's heartbeat may be delayed until there are
--- a/bayford/coordination/leader/worker_commands.py
+++ b/bayford/coordination/leader/worker_commands.py
@@ -105,25 +105,27 @@
             self._state.starts += 1
         return starts, gated
 
-    def stop_commands_for(self, index: int, cancelled_alone: bool = False) -> DirectCommands | None:
-        """Return the stops to send to this machine in a direct command, or None if there are none.
+    def take_stop_commands(self, index: int, cancelled_alone: bool = False) -> DirectCommands | None:
+        """Return the next stops to send to this machine in a direct command, or None if there are none.
 
-        With `cancelled_alone` only the stops of cancelled jobs, which are correct whichever controller leads.
-        Only stops are sent directly: a copy that arrives late stops an attempt that had to stop anyway.
+        They fit into one message, and stops of cancelled jobs come first; call it again for the rest. With
+        `cancelled_alone` only the stops of cancelled jobs, which are correct whichever controller leads. Only
+        stops are sent directly: a copy that arrives late stops an attempt that had to stop anyway.
         """
         with self._state.lock:
             machine = self._state.machines.get(index)
             if machine is None or not self._state.leader or not machine.address:
                 return None
-            placements = [p for p in machine.open.values() if p.job.cancelled or not cancelled_alone]
-            stop_commands: list[workers.Command] = [
-                workers.Stop(placement.task_id, placement.attempt, placement.stop_grace_s)
-                for placement in placements
-                if placement.stopping and placement.started and not placement.stop_sent
-            ]
-            for placement in placements:
-                placement.stop_sent = placement.stop_sent or placement.stopping
-            return DirectCommands(machine.address, machine.epoch, stop_commands) if stop_commands else None
+            unsent = [p for p in machine.open.values() if p.stopping and p.started and not p.stop_sent]
+            cancelled = [p for p in unsent if p.job.cancelled]
+            others = [] if cancelled_alone else [p for p in unsent if not p.job.cancelled]
+            placements = cancelled + others
+            commands = message_sizes.leading_commands(
+                [workers.Stop(p.task_id, p.attempt, p.stop_grace_s) for p in placements]
+            )
+            for placement in placements[: len(commands)]:
+                placement.stop_sent = True
+            return DirectCommands(machine.address, machine.epoch, commands) if commands else None
 
     def hold_s(self, index: int) -> float:
         """Return the number of seconds for which to hold this machine's heartbeat until there is work to
--- a/bayford/coordination/workers/stop_commands.py
+++ b/bayford/coordination/workers/stop_commands.py
@@ -46,21 +46,31 @@
             pass  # the response to the machine's next heartbeat contains the command as well
 
     def step(self) -> float:
-        """Wait for the next queued machine and send it its stop commands."""
+        """Wait for the next queued machine and send it its stop commands, in as many messages as they take.
+
+        After a message without an answer the rest is left to the responses to the machine's heartbeats.
+        """
         index = self._machines.get()
+        while self._send_next(index):
+            pass
+        return 0.0
+
+    def _send_next(self, index: int) -> bool:
+        """Send one message of stop commands to the machine. Returns whether it was answered."""
         record = self._membership.record
         # A controller that may have lost leadership must not stop tasks, because the fencing token may belong
         # to another leader. Tasks of cancelled jobs are the exception: a cancellation is final, even in a
         # stale view.
         is_leader = record.version == self._scheduler.term and self._is_verified_leader()
-        target = self._scheduler.stop_commands_for(index, cancelled_alone=not is_leader)
+        target = self._scheduler.take_stop_commands(index, cancelled_alone=not is_leader)
         if target is None:
-            return 0.0
+            return False
         address, epoch, commands = target
         body = self.send(address, workers.encode_stop_commands(record.fencing_token, epoch, commands))
-        if body is not None:
-            # The answer has the worker's current state, but an earlier response may still be in flight to the
-            # worker. So `after`, which would close placements that have not started, is not passed.
-            self._scheduler.on_heartbeat(workers.parse_heartbeat(body), is_command_response=True)
-            self._signals.round.set()
-        return 0.0
+        if body is None:
+            return False
+        # The answer has the worker's current state, but an earlier response may still be in flight to the
+        # worker. So `sent_after`, which would close placements that have not started, is not passed.
+        self._scheduler.on_heartbeat(workers.parse_heartbeat(body), is_command_response=True)
+        self._signals.round.set()
+        return True
--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -12,7 +12,7 @@
 from cluster_helpers import kill_controller, leader_and_other, leader_of
 from fakes.cluster import Cluster
 from fakes.scenarios import run_for, running_tasks, started_cluster
-from fakes.worker import Attempt
+from fakes.worker import Attempt, FakeWorker
 
 from bayford.protocol import message_sizes, workers
 from bayford.scheduling.policy import Policy
@@ -146,6 +146,31 @@
     assert f"deferred_commands={1250 - ended}" in leader_of(cluster).scheduler.waiting_report()[-1]
 
 
+def fill_as_an_earlier_release(cluster: Cluster, worker: FakeWorker, number: int, parts: int) -> None:
+    """All tasks of a new job run on the machine, although it could not report them in their longest form."""
+    leader = leader_of(cluster)
+    worker.encode = without_optional_fields
+    assert cluster.submit(leader.name, small_tasks(cluster, number, parts)) == 201
+    leader.watch_cache.pull(0.0)
+    leader.scheduler.state.jobs[f"req-{number:06d}"].report_bytes = 0
+    cluster.step_controller(leader.name)
+    for placement in leader.scheduler.state.machines[0].open.values():
+        worker.tasks[placement.key] = Attempt(*placement.key, "running")
+    assert len(worker.running()) == parts
+    assert cluster.heartbeat(worker) == 200
+
+
+# Guards against a direct command of over 64 KiB, and against stops that count as sent though they were not.
+def test_stops_that_do_not_fit_into_one_direct_command_are_sent_in_several() -> None:
+    cluster = started_cluster(machines=1)
+    worker = cluster.first_worker()
+    fill_as_an_earlier_release(cluster, worker, 1, parts=1150)
+    worker.cannot_send = True  # only direct commands reach it
+    assert cluster.cancel("n0", "req-000001") == "aborted"
+    cluster.step_controller("n0")
+    assert worker.running() == []
+
+
 # Guards against a relay that sends a machine more starts than it can report.
 def test_a_relay_starts_no_more_tasks_than_a_machine_can_report() -> None:
     cluster = started_cluster(machines=1, nodes=3)
