Queue a machine once for its direct stops, however many it has

What callers saw: nothing at ordinary sizes. A job of 1,150 tasks on one machine put that machine into the queue of direct stops 1,150 times; the queue holds 16,384 entries, so that two dozen full machines kept the stops of all others out of it, until their next heartbeats.

Cause: one entry for each stop, where the queue's size was meant in machines.

Fix: a machine that is in the queue is not queued again; it leaves the set before its stops are taken, so that a stop decided meanwhile queues it anew.

Test: `test_a_machine_that_does_not_answer_gets_one_direct_command_however_many_stops_it_has`; before, all 1,150 stops were tried, in several messages.

--- a/bayford/coordination/workers/stop_commands.py
+++ b/bayford/coordination/workers/stop_commands.py
@@ -1,6 +1,7 @@
 """Sends stop commands directly to machines, without waiting for their next heartbeats."""
 
 import queue
+import threading
 from collections.abc import Callable
 
 from bayford.coordination.leader.leader_events import LeaderListener
@@ -32,6 +33,8 @@
         self.send = send
         self._signals = signals
         self._machines: queue.Queue[int] = queue.Queue(QUEUE_SIZE)
+        self._lock = threading.Lock()  # guards `_queued`
+        self._queued: set[int] = set()  # the machines in the queue: one entry serves all stops of a machine
 
     @property
     def pending(self) -> bool:
@@ -40,10 +43,14 @@
 
     def on_stop_requested(self, machine: int) -> None:
         """See `LeaderListener`."""
-        try:
-            self._machines.put_nowait(machine)
-        except queue.Full:
-            pass  # the response to the machine's next heartbeat contains the command as well
+        with self._lock:
+            if machine in self._queued:
+                return
+            try:
+                self._machines.put_nowait(machine)
+            except queue.Full:
+                return  # the response to the machine's next heartbeat contains the command as well
+            self._queued.add(machine)
 
     def step(self) -> float:
         """Wait for the next queued machine and send it its stop commands, in as many messages as they take.
@@ -51,6 +58,8 @@
         After a message without an answer the rest is left to the responses to the machine's heartbeats.
         """
         index = self._machines.get()
+        with self._lock:
+            self._queued.discard(index)  # before the stops are taken, so that a later one queues it again
         while self._send_next(index):
             pass
         return 0.0
--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -171,6 +171,19 @@
     assert worker.running() == []
 
 
+# Guards against a queue entry for each stop: those of one machine kept other machines' stops out, and each
+# waited for an answer of its own.
+def test_a_machine_that_does_not_answer_gets_one_direct_command_however_many_stops_it_has() -> None:
+    cluster = started_cluster(machines=1)
+    worker = cluster.first_worker()
+    fill_as_an_earlier_release(cluster, worker, 1, parts=1150)
+    worker.unresponsive = True
+    cluster.cancel("n0", "req-000001")
+    cluster.step_controller("n0")
+    placements = leader_of(cluster).scheduler.state.machines[0].open.values()
+    assert 0 < sum(placement.stop_sent for placement in placements) < 1150
+
+
 # Guards against a relay that sends a machine more starts than it can report.
 def test_a_relay_starts_no_more_tasks_than_a_machine_can_report() -> None:
     cluster = started_cluster(machines=1, nodes=3)
