Tell the leader of many cancellations in several messages

What callers would see (read in the code, then shown by the test): when a controller has confirmed over 64 KiB of cancellations that the leader does not know yet (728 with the longest ids, by their lengths; it is cut off from the state service, which is what notices are for), none of them reached the leader before the bound on the age of its view did.

Cause: all pending notices went into one body; over 64 KiB the other controller's server answers 413, the whole is tried again with those added since, and dropped after `cancel_s`.

Fix: `mesh.split_cancelled` splits them into parts of at most as many as fit with the longest ids; each part is forgotten when it is confirmed, the others stay. The form is unchanged, so that controllers of earlier releases read it.

Test: `test_many_cancellations_are_told_to_the_leader_in_several_messages_and_none_is_lost` (2,000 notices with the longest ids); before, none was delivered.

--- a/bayford/coordination/api/cancellation_notices.py
+++ b/bayford/coordination/api/cancellation_notices.py
@@ -10,6 +10,8 @@
 import threading
 from collections.abc import Callable, Mapping
 
+from bayford.protocol import mesh
+
 log = logging.getLogger(__name__)
 
 CancellationTimes = dict[str, float]  # by job: wall-clock time of its cancellation, in seconds
@@ -59,21 +61,25 @@
         return 0.0 if self.send() else RETRY_S
 
     def send(self) -> bool:
-        """Try once to send all notices. Returns whether none is left. On the leader, clears them unsent."""
+        """Try once to send all notices, in as many messages as they take. Returns whether none is left.
+
+        On the leader, clears them unsent.
+        """
         leader = self._leader()
         pending = self._drop_expired()
         if not pending:
             return True
         notify = self.notify.get(leader)
-        if leader != self._name and (notify is None or not notify(pending)):
-            log.debug(
-                "cancellation notices not delivered: leader=%s count=%d", leader or "none", len(pending)
-            )
-            self._added.set()
-            return False
-        with self._lock:
-            for job_id in pending:
-                self._pending.pop(job_id, None)
+        for part in mesh.split_cancelled(pending):
+            if leader != self._name and (notify is None or not notify(part)):
+                log.debug(
+                    "cancellation notices not delivered: leader=%s count=%d", leader or "none", len(part)
+                )
+                self._added.set()
+                return False
+            with self._lock:
+                for job_id in part:
+                    self._pending.pop(job_id, None)
         return True
 
     def _drop_expired(self) -> CancellationTimes:
--- a/bayford/protocol/mesh.py
+++ b/bayford/protocol/mesh.py
@@ -8,6 +8,8 @@
 import orjson
 
 from bayford.protocol.errors import ProtocolError
+from bayford.protocol.jobs import MAX_JOB_ID_CHARS
+from bayford.protocol.message_sizes import LONGEST_DURATION_S, MAX_MESSAGE_BYTES
 from bayford.protocol.workers import Heartbeat, TaskState
 
 STATUS_PATH = "/mesh/status"
@@ -18,6 +20,10 @@
 RELEASE = 4
 
 
+_LONGEST_CANCELLED_BYTES = len(orjson.dumps({"x" * MAX_JOB_ID_CHARS: LONGEST_DURATION_S}))
+MAX_CANCELLED_PER_MESSAGE = MAX_MESSAGE_BYTES // _LONGEST_CANCELLED_BYTES
+
+
 class UnreadableHeartbeatsError(ProtocolError, ValueError):
     """A text in a relay's record that was not produced by `pack_heartbeats`."""
 
@@ -63,6 +69,15 @@
     return orjson.dumps(jobs)
 
 
+def split_cancelled(jobs: dict[str, float]) -> list[dict[str, float]]:
+    """Split confirmed cancellations into parts that each fit into one message."""
+    entries = list(jobs.items())
+    return [
+        dict(entries[begin : begin + MAX_CANCELLED_PER_MESSAGE])
+        for begin in range(0, len(entries), MAX_CANCELLED_PER_MESSAGE)
+    ]
+
+
 def decode_cancelled(body: bytes) -> dict[str, float]:
     """Decode the body of confirmed cancellations; msgspec errors for anything else."""
     return _cancelled_decoder.decode(body)
--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -10,11 +10,12 @@
 import msgspec
 import pytest
 from cluster_helpers import kill_controller, leader_and_other, leader_of
-from fakes.cluster import Cluster
+from fakes.cluster import MAX_MESSAGE_BYTES, Cluster
 from fakes.scenarios import run_for, running_tasks, started_cluster
 from fakes.worker import Attempt, FakeWorker
 
-from bayford.protocol import message_sizes, workers
+from bayford.coordination.api.cancellation_notices import CancellationNotices
+from bayford.protocol import mesh, message_sizes, workers
 from bayford.scheduling.policy import Policy
 
 CPUS = 0.001  # of a task that is so small that only the sizes of messages bound how many fit on a machine
@@ -92,7 +93,7 @@
     assert running >= message_sizes.MIN_REPORTABLE_TASKS
     for attempt in worker.tasks.values():
         attempt.phase, attempt.reason, attempt.checkpointed = "ended", "incomplete", False
-    assert len(worker.encode(msgspec.to_builtins(worker.heartbeat()))) <= 64 * 1024
+    assert len(worker.encode(msgspec.to_builtins(worker.heartbeat()))) <= MAX_MESSAGE_BYTES
     for attempt in worker.tasks.values():
         attempt.phase, attempt.reason, attempt.checkpointed = "running", None, False
     run_to_completion(cluster, LONGEST_JOB_ID, max_rounds=4)
@@ -204,9 +205,11 @@
     chosen = message_sizes.bounded_commands(stops, starts, [])
     assert chosen.commands == stops[: len(chosen.commands)]
     assert chosen.deferred == 2000 - len(chosen.commands)
-    assert len(workers.encode_response(LARGEST_INTEGER, chosen.commands)) <= 64 * 1024
+    assert len(workers.encode_response(LARGEST_INTEGER, chosen.commands)) <= MAX_MESSAGE_BYTES
     longest = message_sizes.LONGEST_COMMAND_BYTES
-    assert len(workers.encode_response(1, stops[: len(chosen.commands) + 1])) > 64 * 1024 - 2 * longest
+    assert (
+        len(workers.encode_response(1, stops[: len(chosen.commands) + 1])) > MAX_MESSAGE_BYTES - 2 * longest
+    )
 
 
 @pytest.mark.parametrize("listed", [0, 100, 365, 366, 367, 1000])
@@ -295,3 +298,30 @@
     run_to_completion(cluster, "req-000001", max_rounds=6)
     assert worker.epoch == 1
     assert leader_of(cluster).scheduler.state.machines[0].free_report_bytes >= 0
+
+
+# Guards against a notice of over 64 KiB, which the other controller answers with 413 until it is dropped.
+def test_many_cancellations_are_told_to_the_leader_in_several_messages_and_none_is_lost() -> None:
+    delivered: dict[str, float] = {}
+    messages_left = 2  # then the leader does not answer any more
+
+    def notify(cancelled: dict[str, float]) -> bool:
+        nonlocal messages_left
+        body = mesh.encode_cancelled(cancelled)
+        if len(body) > MAX_MESSAGE_BYTES or not messages_left:
+            return False
+        messages_left -= 1
+        delivered.update(mesh.decode_cancelled(body))
+        return True
+
+    wall = 1_764_888_888.123456
+    notices = CancellationNotices("n0", {"n1": notify}, lambda: "n1", cancel_s=42.0, wall=lambda: wall)
+    jobs = [f"req-{number:064d}" for number in range(2000)]
+    for job_id in jobs:
+        notices.add(job_id, wall)
+    assert not notices.send()
+    assert 0 < len(delivered) < 2000
+    messages_left = 100
+    assert notices.send()
+    assert delivered == dict.fromkeys(jobs, wall)
+    assert messages_left > 95, "only the rest is sent again, in few messages"
