Split a relayed heartbeat that is longer than a value of the state service

What callers saw: 340 jobs with ids of 68 characters on one machine that only a relay reached never were done, though their tasks had ended; with values of 4 KiB the leader never heard of the machine.

Cause: `pack_heartbeats` packed a single heartbeat that does not fit into a longer text, and the state service refused the write each time: "value too large, not written: key=b/relay/n1/0 error=400", 13 times in 50 s. (That it also lowers `StoreLimits`, as suspected, was not seen: such writes are skipped one by one.)

Fix: the heartbeat is split by tasks into as many parts as fit; each part has an eleventh field, its number and the number of parts, and the leader (`RelayedHeartbeats`, which takes over the reading of these rows) applies it when all have come. Releases before this one ignore the field: they apply the first part that they read and pass over the others, since these are no newer; ended tasks come first, so that their ends get through, and a relay reaps only what the leader has closed. Heartbeats that fit into a value are packed as before, byte for byte (the fixture of production).

Tests that read rows call the class now.

--- a/bayford/coordination/row_dispatcher.py
+++ b/bayford/coordination/row_dispatcher.py
@@ -6,7 +6,7 @@
 from bayford.coordination.leader.scheduler import Scheduler
 from bayford.coordination.leadership.membership import Membership
 from bayford.coordination.signals import Signals
-from bayford.coordination.workers.relay import decode_heartbeats
+from bayford.coordination.workers.relayed_heartbeats import RelayedHeartbeats
 from bayford.storage import records
 from bayford.storage.key_value_store import Row
 
@@ -31,6 +31,7 @@
         self._scheduler = scheduler
         self._signals = signals
         self._wall = wall
+        self._relayed_heartbeats = RelayedHeartbeats()
 
     def on_rows(self, rows: Sequence[Row]) -> None:
         """Dispatch rows that have changed."""
@@ -57,7 +58,7 @@
             log.error("record unreadable: key=%s reason=%s", row.key, error)
 
     def _apply_relayed_heartbeats(self, row: Row) -> None:
-        relay, heartbeats = decode_heartbeats(row, self._wall())
+        relay, heartbeats = self._relayed_heartbeats.decode(row, self._wall())
         if relay == self._member:
             return
         for heartbeat in heartbeats:
--- a/bayford/coordination/workers/relay.py
+++ b/bayford/coordination/workers/relay.py
@@ -18,7 +18,7 @@
 from bayford.coordination.store_limits import StoreLimits
 from bayford.protocol import mesh, message_sizes, workers
 from bayford.storage import records
-from bayford.storage.key_value_store import Put, Row
+from bayford.storage.key_value_store import Put
 from bayford.storage.watch_cache import WatchCache
 
 log = logging.getLogger(__name__)
@@ -26,7 +26,6 @@
 # A worker that returns this soon after a redirect could not reach the leader. A return takes at least 1 s.
 MIN_RETURN_S, MAX_RETURN_S = 0.5, 20.0
 RELAY_COOLDOWN_S = 60.0  # minimum time from the end of a relay until loss of the leader alone starts another
-MAX_ROW_AGE_S = 15.0  # maximum age of a relay's rows for the leader to read heartbeats from them
 HEARTBEAT_RETENTION_S = 8.0  # how long a received heartbeat is included in publications
 CHANGED_PERIOD_S, UNCHANGED_PERIOD_S = 0.7, 4.0  # publishing period with and without changed heartbeats
 MAX_PERIOD_S = 8.0  # for any number of values: the leader must receive a machine's heartbeat within its lease
@@ -299,19 +298,3 @@
 
     def _key(self, number: int) -> str:
         return f"{records.RELAYS}{self._name}/{number}"
-
-
-def decode_heartbeats(row: Row, wall: float) -> tuple[str, list[workers.Heartbeat]]:
-    """Returns the relay's name and the heartbeats in one of its rows, none if the row is old or unreadable.
-
-    The rows of a relay that has stopped stay in the store. A new leader that treated them as current would
-    place tasks on machines that no longer exist. `wall`: wall-clock time, in seconds.
-    """
-    name = row.key[len(records.RELAYS) :].partition("/")[0]
-    if row.value is None or wall - row.value["at"] > MAX_ROW_AGE_S:
-        return name, []
-    try:
-        return name, mesh.unpack_heartbeats(row.value["reports"])
-    except ValueError as error:
-        log.error("record unreadable: key=%s reason=%s", row.key, error)
-        return name, []
--- a/bayford/protocol/mesh.py
+++ b/bayford/protocol/mesh.py
@@ -2,7 +2,7 @@
 
 import base64
 import zlib
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 import orjson
@@ -10,7 +10,7 @@
 from bayford.protocol.errors import ProtocolError
 from bayford.protocol.jobs import MAX_JOB_ID_CHARS
 from bayford.protocol.message_sizes import LONGEST_DURATION_S, MAX_MESSAGE_BYTES
-from bayford.protocol.workers import Heartbeat, TaskState
+from bayford.protocol.workers import ENDED, Heartbeat, TaskState
 
 STATUS_PATH = "/mesh/status"
 CANCELLED_PATH = "/mesh/cancelled"  # the first two releases do not serve it and respond 404
@@ -129,9 +129,17 @@
     )
 
 
+class HeartbeatPart(NamedTuple):
+    """A heartbeat with all its tasks, or with some of them if it did not fit into one text."""
+
+    heartbeat: Heartbeat
+    number: int  # of the part, from 0
+    total: int  # number of parts
+
+
 def pack_heartbeats(heartbeats: list[Heartbeat], max_chars: int) -> list[str]:
     """Pack heartbeats into few texts of at most `max_chars` characters each, halving the list until each
-    part fits. A single heartbeat that does not fit is packed into a longer text.
+    part fits. A single heartbeat that does not fit is packed in parts, each with some of its tasks.
 
     During a partition between zones, one relay may forward the heartbeats of hundreds of machines, and each
     text is one write from the small rate of writes per second that all controllers share. Heartbeats are
@@ -140,18 +148,51 @@
     """
     if not heartbeats:
         return []
-    body = orjson.dumps([pack_heartbeat(heartbeat) for heartbeat in heartbeats])
-    text = base64.b85encode(zlib.compress(body, 6)).decode()
-    if len(text) <= max_chars or len(heartbeats) == 1:
+    text = _pack_text([pack_heartbeat(heartbeat) for heartbeat in heartbeats])
+    if len(text) <= max_chars or (len(heartbeats) == 1 and len(heartbeats[0].tasks) <= 1):
         return [text]
+    if len(heartbeats) == 1:
+        return _pack_parts(heartbeats[0], max_chars)
     half = len(heartbeats) // 2
     return pack_heartbeats(heartbeats[:half], max_chars) + pack_heartbeats(heartbeats[half:], max_chars)
 
 
-def unpack_heartbeats(text: str) -> list[Heartbeat]:
+def _pack_text(packed: list[list[Any]]) -> str:
+    return base64.b85encode(zlib.compress(orjson.dumps(packed), 6)).decode()
+
+
+def _pack_parts(heartbeat: Heartbeat, max_chars: int) -> list[str]:
+    """Pack a heartbeat into the smallest power of two of parts of which each fits.
+
+    Each part ends with its number and the number of parts, which earlier releases ignore. They apply the
+    first part that they read as if it were the whole and then pass over the others, which are no newer.
+    Ended tasks come first, so that they are in that part: their ends must not wait, unlike the rest.
+    """
+    tasks = sorted(heartbeat.tasks, key=lambda task: task.phase != ENDED)
+    count = 2
+    while True:
+        size = -(-len(tasks) // count)
+        parts = [
+            msgspec.structs.replace(heartbeat, tasks=tasks[begin : begin + size])
+            for begin in range(0, len(tasks), size)
+        ]
+        texts = [
+            _pack_text([[*pack_heartbeat(part), [number, len(parts)]]]) for number, part in enumerate(parts)
+        ]
+        if size <= 1 or all(len(text) <= max_chars for text in texts):
+            return texts
+        count *= 2
+
+
+def unpack_heartbeats(text: str) -> list[HeartbeatPart]:
     """Unpack the heartbeats of one text; UnreadableHeartbeatsError, a ValueError, for anything else."""
     try:
         body = zlib.decompress(base64.b85decode(text))
-        return [unpack_heartbeat(packed) for packed in orjson.loads(body)]
+        return [_unpack_part(packed) for packed in orjson.loads(body)]
     except (zlib.error, TypeError, ValueError) as error:
         raise UnreadableHeartbeatsError(f"text contains no packed heartbeats: {error!r}") from error
+
+
+def _unpack_part(packed: list[Any]) -> HeartbeatPart:
+    number, total = packed[10] if len(packed) > 10 else (0, 1)
+    return HeartbeatPart(unpack_heartbeat(packed), number, total)
--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -5,6 +5,8 @@
 """
 
 import json
+import random
+import string
 from typing import Any
 
 import msgspec
@@ -199,6 +201,25 @@
     assert worker.epoch == 1
 
 
+# Guards against a relayed heartbeat that is too large for a value of the state service.
+def test_the_leader_hears_of_all_tasks_of_a_full_machine_that_only_a_relay_reaches() -> None:
+    cluster = started_cluster(machines=1, nodes=3, value_kb=4.0)
+    cluster.store.value_bytes = 4096
+    worker = cluster.first_worker()
+    leader, _, other = leader_and_other(cluster)
+    cluster.network_cuts.add((worker.name, leader))
+    rng = random.Random(1)
+    job_ids = ["req-" + "".join(rng.choices(string.ascii_letters, k=64)) for _ in range(340)]
+    for number, job_id in enumerate(job_ids):
+        assert cluster.submit(other, small_tasks(cluster, number, 1, id=job_id)) == 201
+    run_for(cluster, 20.0, cloud=False)
+    assert len(worker.running()) == 340
+    finish_all(cluster)
+    run_for(cluster, 30.0, cloud=False)
+    assert [job_id for job_id in job_ids if cluster.query(other, job_id) != "done"] == []
+    assert cluster.store.too_large_count == 0 and worker.epoch == 1
+
+
 def test_commands_are_deferred_in_the_order_of_their_harm() -> None:
     stops: list[workers.Command] = [workers.Stop(f"{LONGEST_JOB_ID}/{n}", 1, 0.0) for n in range(1000)]
     starts = [workers.Start(f"{LONGEST_JOB_ID}/{n}", 1) for n in range(1000)]
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -16,7 +16,7 @@
 from bayford.coordination.leader.recovered_state import RecoveredState
 from bayford.coordination.leader.scaling_actions import Deletion, LaunchRequest, ScalingActions
 from bayford.coordination.leader.scheduler import Scheduler
-from bayford.coordination.workers.relay import decode_heartbeats
+from bayford.coordination.workers.relayed_heartbeats import RelayedHeartbeats
 from bayford.protocol import workers
 from bayford.protocol.cloud_api import MACHINES_PER_PAGE, CloudBusyError, ListedMachine, MachinePage
 from bayford.scheduling.model import MachineType
@@ -244,7 +244,8 @@
         for key, (value, version, _) in cluster.store.rows.items():
             if key.startswith(records.RELAYS) and seen_versions.get(key) != version:
                 seen_versions[key] = version
-                for heartbeat in decode_heartbeats(Row(key, value, version), cluster.clock.wall())[1]:
+                row = Row(key, value, version)
+                for heartbeat in RelayedHeartbeats().decode(row, cluster.clock.wall())[1]:
                     last_heartbeat_at[heartbeat.machine].append(cluster.clock.now)
     assert cluster.store.rate_limited_count == 0
     assert len(seen_versions) > 2 * cluster.store.write_rps, "more values than may be written in two seconds"
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -15,7 +15,7 @@
 
 from bayford.coordination.store_limits import StoreLimits
 from bayford.coordination.store_writer import write_each
-from bayford.coordination.workers.relay import decode_heartbeats
+from bayford.coordination.workers.relayed_heartbeats import RelayedHeartbeats
 from bayford.protocol import mesh, workers
 from bayford.storage import load_summary, records, row_builder, task_log
 from bayford.storage.key_value_store import Put, Row, TooLargeError
@@ -93,7 +93,8 @@
 
 
 def test_production_relay_values_summaries_status_and_responses_are_decoded_and_encoded_unchanged() -> None:
-    name, heartbeats = decode_heartbeats(Row("b/relay/n2/0", GOLDEN["relay"], 5), GOLDEN["relay"]["at"])
+    row = Row("b/relay/n2/0", GOLDEN["relay"], 5)
+    name, heartbeats = RelayedHeartbeats().decode(row, GOLDEN["relay"]["at"])
     assert name == "n2" and [msgspec.to_builtins(r) for r in heartbeats] == [GOLDEN["report"]]
     assert mesh.pack_heartbeats(heartbeats, 2000) == [GOLDEN["relay"]["reports"]]
     rows = [Row(key, value, 5) for key, value in GOLDEN["summary"]]
