Log a request that is over the size limit, with its sender and size

What operators saw: nothing.

Cause: the server refused the body without a log line.

A chunk of a negative size is malformed and gets 400 now, not 413.

Test: `test_a_request_that_is_too_large_is_logged_with_its_sender_and_size`, for a declared length and for chunks; both failed before (no line).

--- a/bayford/transport/http_server.py
+++ b/bayford/transport/http_server.py
@@ -75,6 +75,15 @@
         self.status = status
 
 
+class BodyTooLargeError(HttpError):
+    """The body of a request is larger than the protocol allows."""
+
+    def __init__(self, min_bytes: int) -> None:
+        """`min_bytes`: its size, or the size of the part that was announced before it was refused."""
+        super().__init__(413, "body over 64 KiB")
+        self.min_bytes = min_bytes
+
+
 class ListenError(Exception):
     """A server cannot listen on its address; the message names both."""
 
@@ -138,8 +147,26 @@
             return None
         if words[2] == b"HTTP/1.0" or headers.get("connection", "").lower() == "close":
             self.close_connection = True
-        body = self._read_body(headers)
-        return Request(words[0].decode("latin-1"), words[1].decode("latin-1"), body, sent_after, headers)
+        method, path = words[0].decode("latin-1"), words[1].decode("latin-1")
+        try:
+            body = self._read_body(headers)
+        except BodyTooLargeError as error:
+            self._log_too_large(method, path, error)
+            raise
+        return Request(method, path, body, sent_after, headers)
+
+    def _log_too_large(self, method: str, path: str, error: "BodyTooLargeError") -> None:
+        host, port = self.client_address
+        log.error(
+            "request too large: server=%s sender=%s:%d method=%s path=%s min_bytes=%d max_bytes=%d",
+            self.server.name,
+            host,
+            port,
+            method,
+            path,
+            error.min_bytes,
+            MAX_MESSAGE_BYTES,
+        )
 
     def _read_headers(self) -> dict[str, str] | None:
         """Returns the headers by lower-case name, None if the peer closes the connection before their end."""
@@ -167,7 +194,7 @@
             raise HttpError(400, "bad content-length")
         length = int(length_text)
         if length > MAX_MESSAGE_BYTES:
-            raise HttpError(413, "body over 64 KiB")
+            raise BodyTooLargeError(length)
         body = self.rfile.read(length) if length else b""
         if len(body) < length:
             raise ConnectionError("body ended early")
@@ -180,8 +207,10 @@
                 size = int(self.rfile.readline(MAX_CHUNK_SIZE_LINE).split(b";")[0], 16)
             except ValueError as error:
                 raise HttpError(400, "bad chunk") from error
-            if size < 0 or len(body) + size > MAX_MESSAGE_BYTES:
-                raise HttpError(413, "body over 64 KiB")
+            if size < 0:
+                raise HttpError(400, "bad chunk")
+            if len(body) + size > MAX_MESSAGE_BYTES:
+                raise BodyTooLargeError(len(body) + size)
             if size == 0:
                 while self.rfile.readline(MAX_LINE) not in (b"\r\n", b"\n", b""):
                     pass  # trailers
@@ -216,7 +245,7 @@
         self._max_connections = max_connections
         self._open_connections = 0
         self._lock = threading.Lock()  # guards changes of `_open_connections`
-        self._name = name
+        self.name = name
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
@@ -253,14 +282,14 @@
 
     def start(self) -> None:
         """Start the thread that accepts connections."""
-        threading.Thread(target=self._accept_loop, name=f"accept-{self._name}", daemon=True).start()
+        threading.Thread(target=self._accept_loop, name=f"accept-{self.name}", daemon=True).start()
 
     def _accept_loop(self) -> None:
         while True:
             try:
                 connection, peer = self._socket.accept()
             except OSError as error:
-                log.error("accept failed: server=%s error=%s", self._name, error)
+                log.error("accept failed: server=%s error=%s", self.name, error)
                 time.sleep(ACCEPT_RETRY_S)
                 continue
             if not self._try_reserve_connection():
@@ -278,7 +307,7 @@
         try:
             Connection(connection, peer, self)  # type: ignore[arg-type]  # its `server` is declared above
         except Exception as error:  # noqa: BLE001 - top of the thread: an error fails only this connection
-            log.debug("connection failed: server=%s error=%r", self._name, error)
+            log.debug("connection failed: server=%s error=%r", self.name, error)
         finally:
             self._release_connection()
             with suppress(OSError):
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -4,6 +4,7 @@
 import threading
 
 import orjson
+import pytest
 from fakes.cluster import Cluster
 
 from bayford.clock import NEVER
@@ -111,3 +112,20 @@
     response = handler.handle(Request("POST", workers.HEARTBEAT_PATH, heartbeat, NEVER))
     assert response.status in (200, 421, 503)
     assert 1.25 * facts.heartbeat_interval_s + 4.0 < response.idle_s < facts.lease_s
+
+
+# Guards against a refusal whose sender nobody can find, as when a worker's heartbeat gets too long.
+@pytest.mark.parametrize(
+    ("request_head", "size"),
+    [(b"Content-Length: 70000\r\n\r\n", 70_000), (b"Transfer-Encoding: chunked\r\n\r\n11170\r\n", 70_000)],
+    ids=["length", "chunked"],
+)
+def test_a_request_that_is_too_large_is_logged_with_its_sender_and_size(
+    request_head: bytes, size: int, caplog: pytest.LogCaptureFixture
+) -> None:
+    server = HttpServer("127.0.0.1", 0, lambda request: Response(200, request.body), 8, "front")
+    server.start()
+    assert b" 413 " in exchange(server.port, b"POST /v1/report HTTP/1.1\r\n" + request_head)
+    (message,) = [record.getMessage() for record in caplog.records if record.levelname == "ERROR"]
+    assert message.startswith("request too large: server=front sender=127.0.0.1:")
+    assert message.endswith(f" method=POST path=/v1/report min_bytes={size} max_bytes={64 * 1024}")
