Let the sender of a request that is too large read the response before the connection closes

What callers saw: of 20 requests of 1 MB 17 ended with "Connection reset by peer" in place of 413, of 20 of 5 MB all; 70 to 300 KB got 413 on loopback, where the buffers hold them.

Cause: the connection was closed with data unread, which resets it and can take the response along.

Fix: after the response to a refused request the server reads on, up to 4 MiB and a second, before it closes.

Test: `test_the_sender_of_a_request_that_is_too_large_gets_the_response`, 20 requests of each size; the one of 3 MB failed before. Another holds the edge: a body of exactly 64 KiB is served.

--- a/bayford/transport/http_server.py
+++ b/bayford/transport/http_server.py
@@ -18,6 +18,8 @@
 REQUEST_TIMEOUT_S = 5.0  # timeout of each read after the first line of a request, and of sending a response
 MAX_LINE = 8 * 1024  # bytes
 MAX_HEADERS = 64
+DISCARD_TIMEOUT_S = 1.0  # for the rest of a refused request, of which at most MAX_DISCARDED_BYTES are read
+MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 MAX_CHUNK_SIZE_LINE = 64  # bytes
 BACKLOG = 4096  # connections that wait to be accepted; after a failover, all workers connect at once
 ACCEPT_RETRY_S = 0.05
@@ -121,10 +123,27 @@
         except HttpError as error:
             self.close_connection = True
             body = b'{"error":"' + str(error).encode() + b'"}'
-            self._send(Response(error.status, body))
+            with suppress(OSError):
+                self._send(Response(error.status, body))
+                self._discard_rest()
         except (OSError, ValueError):
             return  # the peer has disconnected or timed out, or the connection's file is closed
 
+    def _discard_rest(self) -> None:
+        """Read for a short time what the peer still sends of a refused request.
+
+        Closing a connection with unread data resets it, and the peer may lose the response.
+        """
+        self.connection.shutdown(socket.SHUT_WR)
+        self.connection.settimeout(DISCARD_TIMEOUT_S)
+        deadline = time.monotonic() + DISCARD_TIMEOUT_S
+        bytes_left = MAX_DISCARDED_BYTES
+        while bytes_left > 0 and time.monotonic() < deadline:
+            received = len(self.connection.recv(min(bytes_left, MAX_MESSAGE_BYTES)))
+            if not received:
+                return
+            bytes_left -= received
+
     def finish(self) -> None:
         """Close the connection, ignoring errors if the peer has disconnected."""
         with suppress(OSError):
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,5 +1,6 @@
 """The HTTP server and the limit on concurrent requests."""
 
+import http.client
 import socket
 import threading
 
@@ -129,3 +130,22 @@
     (message,) = [record.getMessage() for record in caplog.records if record.levelname == "ERROR"]
     assert message.startswith("request too large: server=front sender=127.0.0.1:")
     assert message.endswith(f" method=POST path=/v1/report min_bytes={size} max_bytes={64 * 1024}")
+
+
+# Guards against a reset of the connection in place of the response.
+@pytest.mark.parametrize("size", [64 * 1024 + 1, 300_000, 3_000_000])
+def test_the_sender_of_a_request_that_is_too_large_gets_the_response(size: int) -> None:
+    server = HttpServer("127.0.0.1", 0, lambda request: Response(200, request.body), 8, "front")
+    server.start()
+    for _ in range(20):
+        connection = http.client.HTTPConnection("127.0.0.1", server.port, timeout=5.0)
+        connection.request("POST", "/v1/report", b"x" * size)
+        assert connection.getresponse().status == 413
+        connection.close()
+
+
+def test_a_request_of_the_largest_size_is_served() -> None:
+    server = HttpServer("127.0.0.1", 0, lambda request: Response(200, b"%d" % len(request.body)), 8, "front")
+    server.start()
+    head = b"POST /v1/report HTTP/1.1\r\nContent-Length: 65536\r\n\r\n"
+    assert exchange(server.port, head + b"x" * 65536).endswith(b"\r\n\r\n65536")
