--- a/standins/workers.py
+++ b/standins/workers.py
@@ -52,6 +52,22 @@
     reclaim_notice_s: float | None = None  # heartbeats announce a reclaim of the machine in this time
 
 
+@dataclass
+class MessageSizes:
+    """Sizes of the messages between one worker and the controllers so far, in bytes."""
+
+    longest_report: int = 0
+    longest_response_line: int = 0
+    refused_reports: int = 0  # number of heartbeats that were answered 413
+
+    def record(self, report: bytes, status: int, response: bytes) -> None:
+        """Record a heartbeat and the response to it."""
+        self.longest_report = max(self.longest_report, len(report))
+        lines = response.split(b"\n")
+        self.longest_response_line = max(self.longest_response_line, *map(len, lines))
+        self.refused_reports += status == 413
+
+
 @dataclass
 class Attempt:
     """A task attempt on a worker."""
@@ -147,6 +163,7 @@
         self.spot = spot
         self.images = set(images)
         self.controls = WorkerControls()
+        self.message_sizes = MessageSizes()
         self.epoch = 1
         self.sequence = 0
         self.fencing_token = 0
@@ -310,7 +327,9 @@
         sent_at = time.monotonic()
         status, response = 0, b""
         if not self.controls.is_partitioned and controller not in self.controls.unreachable_controllers:
-            status, response = self._post(controller, json.dumps(body).encode())
+            report = json.dumps(body).encode()
+            status, response = self._post(controller, report)
+            self.message_sizes.record(report, status, response)
         if status and self.controls.responses_to_drop > 0:
             self.controls.responses_to_drop -= 1
             return
