--- a/tests/fakes/key_value_store.py
+++ b/tests/fakes/key_value_store.py
@@ -18,6 +18,8 @@
 )
 from fakes.clock import Clock
 
+MAX_TRANSACTION_BYTES = 64 * 1024
+
 
 class FakeKeyValueStore:
     """The data of the key-value store, and the faults that a test injects."""
@@ -141,8 +143,11 @@
 
     def compare_and_swap(self, conditions: dict[str, int], puts: list[Put]) -> Outcome:
         self._raise_if_unavailable()
-        if len(puts) > self.store.txn_ops or any(
-            put.value is not None and len(orjson.dumps(put.value)) > self.store.value_bytes for put in puts
+        sizes = [0 if put.value is None else len(orjson.dumps(put.value)) for put in puts]
+        if (
+            len(puts) > self.store.txn_ops
+            or any(size > self.store.value_bytes for size in sizes)
+            or sum(sizes) + sum(len(put.key) for put in puts) > MAX_TRANSACTION_BYTES
         ):
             self.store.too_large_count += 1
             raise TooLargeError("400")
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -245,6 +245,23 @@
     ]
 
 
+# Guards against a transaction of over 64 KiB, which the state service refuses.
+@pytest.mark.parametrize(
+    ("sizes", "transactions"), [([8000] * 12, 2), ([8000] * 9, 2), ([100] * 24, 2), ([60_000] * 3, 3)]
+)
+def test_relay_rows_are_written_in_as_few_transactions_as_the_store_accepts(
+    sizes: list[int], transactions: int
+) -> None:
+    cluster = Cluster(1)
+    node = cluster.nodes["n0"]
+    before = cluster.store.revision
+    puts = [Put(f"b/relay/n0/{n}", {"at": 1.0, "reports": "x" * size}) for n, size in enumerate(sizes)]
+    write_each(node.commit_loop.store, node.limits, puts)
+    assert cluster.store.too_large_count == 0
+    assert len([key for key in cluster.store.rows if key.startswith("b/relay")]) == len(sizes)
+    assert cluster.store.revision - before == transactions
+
+
 def test_a_summary_is_written_one_value_at_a_time_and_a_refusal_costs_one_write() -> None:
     """Guards against summary writes that use up the write rate.
 
