Test random faults on machines full of small tasks, and the length of answers to users

Ten seeds of the faults of tests/test_random_concurrent_faults.py, two at a time, with jobs of up to 900 tasks of 0.001 CPUs on three machines: no report may be refused, no response is over 64 KiB, every job ends.

The answers about the largest job that can be accepted (longest id and names, 100,000 tasks), its refusal and the answer to a malformed one are under 4 KiB, before and now: no fault there.

--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -17,7 +17,7 @@
 from fakes.worker import Attempt, FakeWorker
 
 from bayford.coordination.api.cancellation_notices import CancellationNotices
-from bayford.protocol import mesh, message_sizes, workers
+from bayford.protocol import jobs, mesh, message_sizes, workers
 from bayford.scheduling.policy import Policy
 
 CPUS = 0.001  # of a task that is so small that only the sizes of messages bound how many fit on a machine
@@ -346,3 +346,18 @@
     assert notices.send()
     assert delivered == dict.fromkeys(jobs, wall)
     assert messages_left > 95, "only the rest is sent again, in few messages"
+
+
+# Guards against an answer to a user that is over the limit for some job that can be accepted.
+def test_the_answers_about_the_largest_accepted_job_are_short() -> None:
+    cluster = started_cluster(machines=1)
+    node = cluster.nodes["n0"]
+    longest_name = "\u20ac" * jobs.MAX_NAME
+    fields = {"lane": longest_name, "bundle": longest_name, "crew": "open"}
+    body = small_tasks(cluster, 1, jobs.MAX_TASKS, id=LONGEST_JOB_ID, **fields)
+    answers = [node.submit(body), node.submit(body), node.query(LONGEST_JOB_ID), node.cancel(LONGEST_JOB_ID)]
+    assert [answer.status for answer in answers] == [201, 200, 200, 200]
+    answers.append(node.submit(body.replace(b'"shape":"batch"', b'"shape":"' + b"\\u0001" * 10_000 + b'"')))
+    assert answers[-1].status == 400
+    refusal = jobs.encode_refusal(longest_name, longest_name, "backlog", LARGEST_INTEGER, LARGEST_INTEGER)
+    assert max(len(text) for text in (refusal, *(answer.body for answer in answers))) < 4096
--- a/tests/test_random_concurrent_faults.py
+++ b/tests/test_random_concurrent_faults.py
@@ -145,3 +145,42 @@
             run_for(cluster, rng.choice([0.5, 1.0, 2.0]))
         clear_faults(cluster)
     recover_and_check(cluster, 200.0)
+
+
+# Guards against heartbeats and responses of over 64 KiB under faults: starts that were sent in vain, ended
+# tasks that can't be reaped, machines that change between the leader and a relay.
+@pytest.mark.parametrize("seed", range(10))
+def test_random_concurrent_faults_on_machines_full_of_small_tasks(seed: int) -> None:
+    cluster = Cluster(3, seed=seed)
+    for n in range(3):
+        cluster.machine(zone="north" if n % 2 else "south")
+    run_for(cluster, 2.0)
+    rng = cluster.rng
+    machines = dict(cluster.workers)
+    for number in range(8):
+        job = cluster.job(
+            number,
+            parts=rng.choice([100, 400, 900]),
+            cpus=0.001,
+            mem_gb=0.0,
+            crew=rng.choice(["red", "blue"]),
+            rank=rng.choice(["idle", "normal", "urgent"]),
+            guess_s=500.0,
+            together=rng.random() < 0.2,
+        )
+        cluster.submit(rng.choice(sorted(cluster.nodes)), job)
+        begin_fault(cluster, rng.choice(FAULTS))
+        for _ in range(6):
+            for task_id in running_tasks(cluster):
+                if rng.random() < 0.2:
+                    cluster.finish(task_id)
+            run_for(cluster, rng.choice([0.5, 1.0, 2.0]))
+            machines |= cluster.workers
+        if cluster.accepted and rng.random() < 0.3:
+            cluster.cancel(rng.choice(sorted(cluster.nodes)), rng.choice(sorted(cluster.accepted)))
+        clear_faults(cluster)
+        run_for(cluster, 3.0)
+    recover_and_check(cluster, 150.0)
+    machines |= cluster.workers
+    assert max(worker.longest_report for worker in machines.values()) > 32 * 1024, "some machine was full"
+    assert not any(worker.refused_reports for worker in machines.values())
