Compare resources in one place: placement, preemption and the balancer

`scheduling.preemption` had its own copy of the comparison of what a task takes with what is free, and added up the victims' resources one by one; it uses the functions of the balancer now, which have moved to `scheduling/resources.py` with their type and tolerance.

--- a/bayford/coordination/leader/balancer.py
+++ b/bayford/coordination/leader/balancer.py
@@ -10,8 +10,9 @@
 from bayford.coordination.leader.leader_state import LeaderState
 from bayford.coordination.leader.migrator import Migrator
 from bayford.protocol import workers
-from bayford.scheduling import placement_rules, tempered
-from bayford.scheduling.model import EPS, GANG, SERVICE, AttemptKey, Job, Machine, Resources
+from bayford.scheduling import placement_rules, resources, tempered
+from bayford.scheduling.model import GANG, SERVICE, AttemptKey, Job, Machine
+from bayford.scheduling.resources import EPS, Resources
 
 log = logging.getLogger(__name__)
 
@@ -134,8 +135,8 @@
                 continue
             room = host.free
             for item in host.items:
-                room = tempered.add(room, item.demand)
-            if tempered.fits(demand, room):
+                room = resources.add(room, item.demand)
+            if resources.fits(demand, room):
                 ranked.append((job.spec.cpus - machine.free_cpus, machine.index))
         return [index for _, index in sorted(ranked)[: self._state.policy.balance_sources]]
 
--- a/bayford/coordination/leader/preemptor.py
+++ b/bayford/coordination/leader/preemptor.py
@@ -14,8 +14,9 @@
 from bayford.coordination.leader.leader_state import RESERVATION_S, LeaderState
 from bayford.recovery import return_order
 from bayford.scheduling import placement_rules, preemption
-from bayford.scheduling.model import EPS, URGENT, Job, Machine, Placement
+from bayford.scheduling.model import URGENT, Job, Machine, Placement
 from bayford.scheduling.quota import TeamQuota
+from bayford.scheduling.resources import EPS
 
 log = logging.getLogger(__name__)
 
--- a/bayford/coordination/leader/scheduling_queue.py
+++ b/bayford/coordination/leader/scheduling_queue.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 
 from bayford.coordination.leader.leader_state import LeaderState
-from bayford.scheduling.model import EPS, GANG, URGENT, Job
+from bayford.scheduling.model import GANG, URGENT, Job
+from bayford.scheduling.resources import EPS
 
 
 @dataclass(frozen=True, slots=True)
--- a/bayford/coordination/leader/waiting_demand.py
+++ b/bayford/coordination/leader/waiting_demand.py
@@ -8,7 +8,8 @@
 from bayford.coordination.leader.scheduling_queue import SchedulingQueue
 from bayford.protocol import message_sizes
 from bayford.scheduling import placement_rules, scaling
-from bayford.scheduling.model import EPS, URGENT, Job
+from bayford.scheduling.model import URGENT, Job
+from bayford.scheduling.resources import EPS
 from bayford.scheduling.scaling import Demand, MachinePool, PooledMachine
 
 NO_FLEET_BACKLOG_S = (
--- a/bayford/coordination/leader/worker_commands.py
+++ b/bayford/coordination/leader/worker_commands.py
@@ -4,7 +4,8 @@
 
 from bayford.coordination.leader.leader_state import LeaderState
 from bayford.protocol import message_sizes, workers
-from bayford.scheduling.model import EPS, AttemptKey, Machine
+from bayford.scheduling.model import AttemptKey, Machine
+from bayford.scheduling.resources import EPS
 
 IDLE_HOLD_SHARE = 0.75  # maximum hold of an idle machine's heartbeat, as a share of the heartbeat interval
 
--- a/bayford/coordination/leader/workload.py
+++ b/bayford/coordination/leader/workload.py
@@ -2,7 +2,8 @@
 
 from bayford.admission.facts import WorkloadFacts
 from bayford.coordination.leader.leader_state import LeaderState
-from bayford.scheduling.model import EPS, Job
+from bayford.scheduling.model import Job
+from bayford.scheduling.resources import EPS
 
 BOOTING_FRACTION = 10  # the fleet is growing if over one machine in this many is booting or requested
 
--- a/bayford/scheduling/capacity_index.py
+++ b/bayford/scheduling/capacity_index.py
@@ -14,7 +14,8 @@
 from typing import NamedTuple
 
 from bayford.scheduling import placement_rules
-from bayford.scheduling.model import EPS, Job, Machine
+from bayford.scheduling.model import Job, Machine
+from bayford.scheduling.resources import EPS
 
 
 class BucketKey(NamedTuple):
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -14,19 +14,17 @@
 import msgspec
 
 from bayford.clock import NEVER
+from bayford.scheduling.resources import EPS, Resources
 
 PRIORITIES = ("idle", "normal", "urgent", "critical")
 ARRAY, GANG, SERVICE = "array", "gang", "service"
 SERVICE_RUN_S = 600.0  # run time assumed for a replica where an estimate is needed, since services never end
 URGENT = PRIORITIES.index("urgent")
-EPS = 1e-6
 CHECKPOINT_MARGIN = 1.5  # grace period of a stopped task, as a multiple of its declared checkpoint save time
 
 # Task name and attempt number. A plain tuple, because one is created for each task of each heartbeat.
 AttemptKey = tuple[str, int]
 
-Resources = tuple[float, float, float, int]  # CPUs, GPUs, GB of memory, bytes of the machine's heartbeat
-
 
 class Interner:
     """Two-way table between names and dense indices. An index always keeps its name."""
--- a/bayford/scheduling/preemption.py
+++ b/bayford/scheduling/preemption.py
@@ -9,8 +9,9 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from bayford.scheduling.model import EPS, Job, JobSpec, Machine, Placement
+from bayford.scheduling.model import Job, JobSpec, Machine, Placement
 from bayford.scheduling.quota import TeamQuota
+from bayford.scheduling.resources import add, fits
 
 # Constants of `delay_cost`. Those without a unit are multiples of the task's expected run time.
 REPEATED_PREEMPTION_COST = 0.5  # cost for each earlier preemption of the task
@@ -111,26 +112,15 @@
     Candidates with the least loss per CPU are chosen first. Returns None if more than `max_victims` would be
     needed, if all candidates together do not suffice, or if the task fits without preemption.
     """
-    spec = waiting.spec
-    cpus, gpus, mem_gb = machine.free_cpus, machine.free_gpus, machine.free_mem
-    report_bytes = machine.free_report_bytes
+    demand, free = waiting.demand, machine.free
     remaining = iter(sorted(candidates, key=lambda victim: victim.loss / max(victim.job.spec.cpus, 0.1)))
     chosen: list[Victim] = []
     loss = 0.0
-    while not (
-        cpus + EPS >= spec.cpus
-        and gpus + EPS >= spec.gpus
-        and mem_gb + EPS >= spec.mem_gb
-        and report_bytes >= waiting.report_bytes
-    ):
+    while not fits(demand, free):
         victim = next(remaining, None)
         if victim is None or len(chosen) == max_victims:
             return None
-        victim_spec = victim.job.spec
         chosen.append(victim)
-        loss += victim.loss * victim_spec.cpus
-        cpus += victim_spec.cpus
-        gpus += victim_spec.gpus
-        mem_gb += victim_spec.mem_gb
-        report_bytes += victim.job.report_bytes
+        loss += victim.loss * victim.job.spec.cpus
+        free = add(free, victim.job.demand)
     return PreemptionOption(machine.index, chosen, loss) if chosen else None
--- a/bayford/scheduling/quota.py
+++ b/bayford/scheduling/quota.py
@@ -7,7 +7,8 @@
 
 from dataclasses import dataclass
 
-from bayford.scheduling.model import ARRAY, EPS, JobSpec
+from bayford.scheduling.model import ARRAY, JobSpec
+from bayford.scheduling.resources import EPS
 
 
 @dataclass(slots=True)
--- a/bayford/scheduling/scaling.py
+++ b/bayford/scheduling/scaling.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from bayford.scheduling.model import EPS, Machine, MachineType
+from bayford.scheduling.model import Machine, MachineType
+from bayford.scheduling.resources import EPS
 
 MIN_CHARGE_S = 60.0  # minimum time that the cloud charges for a machine, however early it is deleted
 MAX_PER_LAUNCH = 50  # machines in one launch plan
--- a/bayford/scheduling/tempered.py
+++ b/bayford/scheduling/tempered.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
-from bayford.scheduling.model import EPS, Resources
+from bayford.scheduling.resources import EPS, Resources, add, fits, sub
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,26 +71,6 @@
 Allowed = Callable[[tuple[str, int], int], bool]
 
 
-def add(a: Resources, b: Resources) -> Resources:
-    """Returns the component-wise sum."""
-    return (a[0] + b[0], a[1] + b[1], a[2] + b[2], a[3] + b[3])
-
-
-def sub(a: Resources, b: Resources) -> Resources:
-    """Returns the component-wise difference `a - b`."""
-    return (a[0] - b[0], a[1] - b[1], a[2] - b[2], a[3] - b[3])
-
-
-def fits(demand: Resources, free: Resources) -> bool:
-    """Returns whether `free` suffices for `demand` in every resource."""
-    return (
-        demand[0] <= free[0] + EPS
-        and demand[1] <= free[1] + EPS
-        and demand[2] <= free[2] + EPS
-        and demand[3] <= free[3]
-    )
-
-
 def imbalance(loads: Iterable[float]) -> float:
     """Equation 1: highest load divided by average load, minus 1; 0 if the average load is 0."""
     values = list(loads)
--- a/bayford/spread/machine_snapshot.py
+++ b/bayford/spread/machine_snapshot.py
@@ -2,7 +2,8 @@
 
 from dataclasses import dataclass
 
-from bayford.scheduling.model import Machine, Resources
+from bayford.scheduling.model import Machine
+from bayford.scheduling.resources import Resources
 
 
 @dataclass(frozen=True, slots=True)
--- a/bayford/spread/rebalance.py
+++ b/bayford/spread/rebalance.py
@@ -12,7 +12,7 @@
 from typing import Self
 
 from bayford.scheduling import tempered
-from bayford.scheduling.model import EPS
+from bayford.scheduling.resources import EPS
 from bayford.scheduling.tempered import Allowed, Host, SearchLimits
 
 
--- a/bayford/spread/score.py
+++ b/bayford/spread/score.py
@@ -13,7 +13,8 @@
 
 import xxhash
 
-from bayford.scheduling.model import EPS, Job, Machine
+from bayford.scheduling.model import Job, Machine
+from bayford.scheduling.resources import EPS
 
 SLOWDOWN_PER_FETCH = 1.0  # relative slowdown of a fetch by each other fetch on the same link
 REMAINING_FETCH_SHARE = 0.5  # assumed share of its time that a fetch in progress still takes
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from test_capacity_index import CPUS, indexed, jobs, machines, make_job
 
-from bayford.scheduling import placement_rules, tempered
+from bayford.scheduling import placement_rules, resources, tempered
 from bayford.scheduling.model import Job, Machine, MachineType, Placement
 from bayford.scheduling.policy import Policy
 from bayford.scheduling.tempered import Host, Item, SearchLimits
@@ -167,8 +167,8 @@
         source, target = hosts_by_index[relocation.source], hosts_by_index[relocation.target]
         need = next(item.demand for item in before[source.index][1] if item.key == relocation.key)
         assert tempered.criterion(need[0] / target.cpus, loads[source.index], loads[target.index])
-        assert tempered.fits(need, target.free)
-        target.free, source.free = tempered.sub(target.free, need), tempered.add(source.free, need)
+        assert resources.fits(need, target.free)
+        target.free, source.free = resources.sub(target.free, need), resources.add(source.free, need)
         loads = {host.index: host.load for host in fleet}
     assert abs(tempered.imbalance(loads.values()) - plan.after) < 1e-6
     assert plan.after <= plan.before + 1e-6
@@ -197,8 +197,8 @@
             source.items.remove(item)
             target.items.append(item)
             source.free, target.free = (
-                tempered.add(source.free, item.demand),
-                tempered.sub(target.free, item.demand),
+                resources.add(source.free, item.demand),
+                resources.sub(target.free, item.demand),
             )
     else:
         pytest.fail("migration plans do not converge")
