Name the relay's record of the order of heartbeats after what it does

`Relay.is_stale` also recorded the heartbeat, which its name did not say: it is `record_order` now, and returns whether the heartbeat is newer than all of its machine so far. No behaviour changes.

--- a/bayford/coordination/workers/heartbeat_service.py
+++ b/bayford/coordination/workers/heartbeat_service.py
@@ -124,7 +124,7 @@
 
     def _redirect_target(self, heartbeat: workers.Heartbeat, record: LeadershipRecord) -> str | None:
         """Returns the controller to redirect the worker to, None if this one answers as the relay."""
-        if self._relay.is_stale(heartbeat):
+        if not self._relay.record_order(heartbeat):
             return record.leader
         leader_unreachable = record.leader in self._peers.unreachable
         # A heartbeat with the current fencing token and a higher sequence number than a worker's first ones
--- a/bayford/coordination/workers/relay.py
+++ b/bayford/coordination/workers/relay.py
@@ -110,8 +110,8 @@
         self._known_cancelled: set[str] = set()
         self._deferred_commands = 0
 
-    def is_stale(self, heartbeat: workers.Heartbeat) -> bool:
-        """Returns whether this or a newer heartbeat of the machine was seen here before; if not, records it.
+    def record_order(self, heartbeat: workers.Heartbeat) -> bool:
+        """Records the heartbeat's order and returns whether it is newer than all those of its machine so far.
 
         A late copy must not move a machine between the leader and the relay, and is not passed on.
         """
@@ -120,9 +120,9 @@
             if len(self._latest) > MAX_REMEMBERED_ENTRIES:
                 self._latest.clear()
             if order <= self._latest.get(heartbeat.machine, (-1, -1)):
-                return True
+                return False
             self._latest[heartbeat.machine] = order
-            return False
+            return True
 
     def should_answer(
         self, machine: str, fencing_token: int, leader_unreachable: bool, has_lost_leader: bool
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -212,8 +212,10 @@
     cluster = Cluster(nodes=2)
     relay = cluster.nodes["n1"].relay
     heartbeats = [cluster.machine().heartbeat() for _ in range(MACHINES + 500)]
-    assert not any(relay.is_stale(heartbeat) for heartbeat in heartbeats)
-    assert all(relay.is_stale(heartbeat) for heartbeat in heartbeats), "each of them was received before"
+    assert all(relay.record_order(heartbeat) for heartbeat in heartbeats)
+    assert not any(relay.record_order(heartbeat) for heartbeat in heartbeats), (
+        "each of them was received before"
+    )
 
 
 def test_a_relay_of_4000_machines_keeps_within_the_write_rate_and_forwards_each_machine() -> None:
