Count only the starts that are sent

Since starts are bounded by what a worker can report, `starts=` in the scheduler's status line also counted those left to a later response. It counts what is in the response now (asserted in the test of a machine filled by an earlier release). A relay takes its lock for the count of deferred commands only if there are any.

--- a/bayford/coordination/leader/worker_commands.py
+++ b/bayford/coordination/leader/worker_commands.py
@@ -43,6 +43,7 @@
             if not stops_and_reaps and not starts:
                 return PendingCommands([], gated)
             commands, deferred = message_sizes.bounded_commands(stops_and_reaps, starts, phases)
+            self._state.starts += max(0, len(commands) - len(stops_and_reaps))
             self._state.deferred_commands += deferred
             return PendingCommands(commands, gated)
 
@@ -103,7 +104,6 @@
                 gated = True
                 continue
             starts.append(workers.Start(placement.task_id, placement.attempt))
-            self._state.starts += 1
         return starts, gated
 
     def take_stop_commands(self, index: int, cancelled_alone: bool = False) -> DirectCommands | None:
--- a/bayford/coordination/workers/relay.py
+++ b/bayford/coordination/workers/relay.py
@@ -229,8 +229,9 @@
     ) -> list[workers.Command]:
         """Returns the commands that fit into one response, and counts the others."""
         commands, deferred = message_sizes.bounded_commands(stops_and_reaps, starts, reported)
-        with self._lock:
-            self._deferred_commands += deferred
+        if deferred:
+            with self._lock:
+                self._deferred_commands += deferred
         return commands
 
     @property
--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -318,6 +318,7 @@
     assert leader_of(cluster).scheduler.state.machines[0].free_report_bytes < 0
     run_to_completion(cluster, "req-000001", max_rounds=6)
     assert worker.epoch == 1
+    assert leader_of(cluster).scheduler.state.starts == 1200 - len(started), "only starts that are sent count"
     assert leader_of(cluster).scheduler.state.machines[0].free_report_bytes >= 0
 
 
