--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -15,6 +15,7 @@
 from fakes.cluster import MAX_MESSAGE_BYTES, Cluster
 from fakes.scenarios import run_for, running_tasks, started_cluster
 from fakes.worker import Attempt, FakeWorker
+from zone_helpers import cut_zone_off, reconnect_zones, recovery_cluster, running_in_zone, zone_state
 
 from bayford.coordination.api.cancellation_notices import CancellationNotices
 from bayford.protocol import jobs, mesh, message_sizes, workers
@@ -270,6 +271,22 @@
     assert reports_fit(cluster)
 
 
+# Guards against a returning zone whose machines get back more tasks than they can report.
+def test_small_tasks_return_to_the_machines_of_a_lost_zone_within_what_they_can_report() -> None:
+    cluster = recovery_cluster(machines=8)  # half of them in the zone that is lost
+    cluster.submit("n0", small_tasks(cluster, 1, 2600, lane="hot", yard="south"))
+    run_for(cluster, 10.0)
+    before = len(running_in_zone(cluster))
+    assert 4 * 500 <= before < 2600
+    cut_zone_off(cluster)
+    run_for(cluster, 22.0)
+    assert zone_state(cluster) == "lost" and not running_in_zone(cluster)
+    reconnect_zones(cluster)
+    run_for(cluster, 60.0)
+    assert len(running_in_zone(cluster)) >= before - 50, "those with longer numbers take more room"
+    assert not any(worker.refused_reports for worker in cluster.workers.values())
+
+
 # Guards against a search over machines that have CPUs left but can't report another task.
 def test_a_machine_that_can_report_no_further_task_is_not_searched() -> None:
     cluster = started_cluster(machines=1)
