Count the room in reports that urgent tasks use up when machines are launched for others

What callers saw (on the fakes): three spot machines full of urgent tiny tasks, the cloud has no further spot machines. The same job with tasks of one CPU runs whole.

Cause: the CPUs that urgent work may get by preemption were a machine's CPUs less those of its urgent tasks. Machines that can report no more looked as if nearly all their CPUs could be preempted, so that no on-demand machine seemed necessary.

Fix: the urgent tasks of a machine use up their CPUs, or as large a share of the machine as they take of its heartbeat, whichever is more. For ordinary tasks that is their CPUs, as before.

Test: test_urgent_tiny_tasks_get_on_demand_machines_when_no_spot_machine_can_be_launched, failed before with [1.0, 0.75].

--- a/bayford/coordination/leader/waiting_demand.py
+++ b/bayford/coordination/leader/waiting_demand.py
@@ -8,7 +8,7 @@
 from bayford.coordination.leader.scheduling_queue import SchedulingQueue
 from bayford.protocol import message_sizes
 from bayford.scheduling import placement_rules, scaling
-from bayford.scheduling.model import URGENT, Job
+from bayford.scheduling.model import URGENT, Job, Machine
 from bayford.scheduling.resources import EPS
 from bayford.scheduling.scaling import Demand, MachinePool, PooledMachine
 
@@ -125,12 +125,13 @@
     def _preemptible_cpus(self, machines: Sequence[PooledMachine]) -> dict[MachinePool, float]:
         """Returns the CPUs available to urgent work, by pool.
 
-        These are all CPUs that urgent work does not use already, including those of machines being launched.
+        These are all CPUs that urgent work does not use up already, including those of machines being
+        launched.
         """
         preemptible: dict[MachinePool, float] = {}
         for pool, machine in machines:
-            urgent_cpus = sum(p.job.spec.cpus for p in machine.open.values() if p.job.spec.priority >= URGENT)
-            preemptible[pool] = preemptible.get(pool, 0.0) + machine.cpus - urgent_cpus
+            urgent = [p.job for p in machine.open.values() if p.job.spec.priority >= URGENT]
+            preemptible[pool] = preemptible.get(pool, 0.0) + machine.cpus - _used_cpus(machine, urgent)
         for pool, count in self._state.launching.items():
             launching_cpus = self._state.types[pool.type].cpus * count
             preemptible[pool] = preemptible.get(pool, 0.0) + launching_cpus
@@ -206,6 +207,17 @@
         return on_demand
 
 
+def _used_cpus(machine: Machine, jobs: Sequence[Job]) -> float:
+    """Returns the machine's CPUs that a task of each of these jobs uses up.
+
+    They are the tasks' own CPUs, or as large a share of the machine's CPUs as they take of its heartbeat.
+    """
+    if not jobs:
+        return 0.0
+    report_share = sum(job.report_bytes for job in jobs) / message_sizes.MAX_REPORT_ENTRIES_BYTES
+    return max(sum(job.spec.cpus for job in jobs), machine.cpus * report_share)
+
+
 def backlog_s(demands: Sequence[Demand], state: LeaderState, machines: Sequence[PooledMachine]) -> float:
     """Returns the seconds that the fleet, including machines being launched, needs for the waiting work.
 
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -11,6 +11,18 @@
 from bayford.scheduling import scaling
 
 
+def refuse_spot_machines(cluster: Cluster, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The cloud has no spot machines; on-demand ones can be launched."""
+    launch = cluster.cloud.launch
+
+    def no_spot(request: str, kind: str, zone: str, spot: bool, count: int) -> list[str]:
+        if spot:
+            raise NoCapacityError
+        return launch(request, kind, zone, spot, count)
+
+    monkeypatch.setattr(cluster.cloud, "launch", no_spot)
+
+
 def test_machines_are_launched_for_waiting_work_and_idle_ones_are_deleted() -> None:
     cluster = started_cluster(machines=0)
     cluster.submit("n0", cluster.job(1, parts=8))
@@ -75,14 +87,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     cluster = started_cluster(machines=3)
-    launch = cluster.cloud.launch
-
-    def no_spot(request: str, kind: str, zone: str, spot: bool, count: int) -> list[str]:
-        if spot:
-            raise NoCapacityError
-        return launch(request, kind, zone, spot, count)
-
-    monkeypatch.setattr(cluster.cloud, "launch", no_spot)
+    refuse_spot_machines(cluster, monkeypatch)
     cluster.submit("n0", cluster.job(1, builds=["cards"], parts=1))
     run_for(cluster, 12.0)
     assert len(running_tasks(cluster)) == 1
@@ -116,6 +121,24 @@
     assert machines[0] == machines[1]
 
 
+# Guards against machines full of urgent tiny tasks that seem to have CPUs left for other urgent work.
+def test_urgent_tiny_tasks_get_on_demand_machines_when_no_spot_machine_can_be_launched(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    reportable = message_sizes.reportable_tasks(message_sizes.longest_report_entry_bytes("req-000001", 9999))
+    running = []
+    for parts, cpus in ((16, 1.0), (4 * reportable, 1e-5)):  # either job fills four machines
+        cluster = started_cluster(machines=3)
+        refuse_spot_machines(cluster, monkeypatch)
+        job = cluster.job(
+            1, crew="blue", rank="urgent", parts=parts, cpus=cpus, mem_gb=0.0, guess_s=20.0, due_s=None
+        )
+        cluster.submit("n0", job)
+        run_for(cluster, 30.0)
+        running.append(len(running_tasks(cluster)) / parts)
+    assert running == [1.0, 1.0]
+
+
 def test_a_task_uses_up_its_share_of_a_machine_that_can_report_no_more() -> None:
     types = Cluster(1).cloud.catalog()
     pools = [scaling.MachinePool(0, 0, True), scaling.MachinePool(1, 0, True)]
