Count the room in reports that running tasks use up when machines are launched for deadlines

No on-demand machine is launched, its tasks wait. With tasks of one CPU one is launched and all run.

Cause: the work of running tasks, and the CPUs that services hold, were counted by the tasks' CPUs alone, so that full machines seemed to be free for the waiting job before its deadline.

Fix: a running task counts with its CPUs or its share of a machine that can report no more, as a waiting one already does. The step now passes over jobs without running tasks, whose run time it estimated before. Ordinary tasks count as before.

--- a/bayford/coordination/leader/waiting_demand.py
+++ b/bayford/coordination/leader/waiting_demand.py
@@ -15,6 +15,7 @@
 NO_FLEET_BACKLOG_S = (
     1e9  # used if work waits and the fleet is empty; at least the default of `ordinary_after_s`
 )
+REMAINING_RUN_SHARE = 0.5  # share of its run time that a running task is assumed to have left
 
 
 def pools_for(state: LeaderState, job: Job) -> frozenset[MachinePool]:
@@ -105,14 +106,19 @@
         spot_cpus = sum(cpus for pool, cpus in pool_cpus.items() if pool.spot)
         for pool, count in state.launching.items():
             pool_cpus[pool] = pool_cpus.get(pool, 0.0) + state.types[pool.type].cpus * count
+        mean_cpus = sum(machine.cpus for _, machine in machines) / max(1, len(machines))
         # Services never end: the CPUs that they use are unavailable to other work, and their demand is no
         # backlog.
-        service_cpus = sum(job.spec.cpus * len(job.open) for job in state.jobs.values() if job.is_service)
-        running_cpu_s = sum(
-            0.5 * state.expected_run_s(job) * job.spec.cpus * len(job.open)
-            for job in state.jobs.values()
-            if not job.is_service
-        )
+        service_cpus = running_cpu_s = 0.0
+        for job in state.jobs.values():
+            if not job.open:
+                continue
+            max_per_machine = message_sizes.reportable_tasks(job.report_bytes)
+            cpus = scaling.machine_cpus_used(job.spec.cpus, mean_cpus, max_per_machine) * len(job.open)
+            if job.is_service:
+                service_cpus += cpus
+            else:
+                running_cpu_s += REMAINING_RUN_SHARE * state.expected_run_s(job) * cpus
         return _FleetCapacity(
             pool_cpus=pool_cpus,
             preemptible_cpus=preemptible_cpus,
--- a/bayford/scheduling/scaling.py
+++ b/bayford/scheduling/scaling.py
@@ -89,11 +89,17 @@
 def fleet_cpus(
     cpus: float, pools: Iterable[MachinePool], types: Sequence[MachineType], max_per_machine: int
 ) -> float:
-    """Returns the CPUs of the fleet that one task uses up, in the smallest machine that may serve it.
+    """Returns the CPUs of the fleet that one task uses up, in the smallest machine that may serve it."""
+    return machine_cpus_used(
+        cpus, min((types[pool.type].cpus for pool in pools), default=0.0), max_per_machine
+    )
+
+
+def machine_cpus_used(cpus: float, machine_cpus: float, max_per_machine: int) -> float:
+    """Returns the CPUs that one task uses up of a machine with `machine_cpus`.
 
     They are its own CPUs, or its share of a machine that is full because it can report no more tasks.
     """
-    machine_cpus = min((types[pool.type].cpus for pool in pools), default=0.0)
     return max(cpus, machine_cpus / max_per_machine)
 
 
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -139,6 +139,24 @@
     assert running == [1.0, 1.0]
 
 
+# Guards against a deadline that is missed because running tiny tasks seem to leave the fleet free.
+def test_tiny_tasks_with_a_deadline_get_on_demand_machines_beside_running_tiny_tasks(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    reportable = message_sizes.reportable_tasks(message_sizes.longest_report_entry_bytes("req-000001", 9999))
+    running = []
+    for per_machine, cpus in ((4, 1.0), (reportable, 1e-5)):
+        cluster = started_cluster(machines=3)
+        refuse_spot_machines(cluster, monkeypatch)
+        fields = {"crew": "blue", "cpus": cpus, "mem_gb": 0.0, "guess_s": 100.0}
+        cluster.submit("n0", cluster.job(1, parts=3 * per_machine, **fields))
+        run_for(cluster, 5.0, cloud=False)
+        cluster.submit("n0", cluster.job(2, parts=per_machine, due_s=180.0, **fields))
+        run_for(cluster, 20.0)
+        running.append(len(running_tasks(cluster)) / per_machine)
+    assert running == [4.0, 4.0], "the present fleet can't meet the deadline"
+
+
 def test_a_task_uses_up_its_share_of_a_machine_that_can_report_no_more() -> None:
     types = Cluster(1).cloud.catalog()
     pools = [scaling.MachinePool(0, 0, True), scaling.MachinePool(1, 0, True)]
