--- a/tests/fakes/scenarios.py
+++ b/tests/fakes/scenarios.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from bayford.coordination.controller import Controller
+from bayford.protocol import message_sizes
 from bayford.storage import records
 from fakes.cluster import Cluster
 
@@ -20,6 +21,11 @@
     return cluster
 
 
+def reportable_tasks() -> int:
+    """How many tasks of a job like `req-000001`, of up to 9,999 tasks, a machine can report."""
+    return message_sizes.reportable_tasks(message_sizes.longest_report_entry_bytes("req-000001", 9999))
+
+
 def running_tasks(cluster: Cluster) -> list[str]:
     """The running tasks of all workers, sorted; a task that runs on two workers is listed twice."""
     return sorted(task_id for worker in cluster.workers.values() for task_id in worker.running())
--- a/tests/test_admission_cluster.py
+++ b/tests/test_admission_cluster.py
@@ -10,6 +10,7 @@
 import pytest
 from cluster_helpers import leader_of
 from fakes.cluster import Cluster
+from fakes.scenarios import reportable_tasks
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
@@ -402,6 +403,25 @@
     assert scheduler.workload_facts().backlog_s == {}, "machines can be launched again"
 
 
+# Guards against a backlog of tiny tasks that seems to take no time, so that nothing is refused.
+def test_the_backlog_of_tiny_tasks_counts_the_machines_that_they_fill() -> None:
+    cluster = admission_cluster(machines=2)
+    leader = cluster.require_leader()
+    scheduler = cluster.nodes[leader].scheduler
+    job = cluster.job(1, parts=8 * reportable_tasks(), cpus=1e-5, mem_gb=0.0, guess_s=100.0, crew="open")
+    cluster.submit(leader, job)
+    cluster.step()
+    cluster.cloud.capacity = 0
+    for _ in range(4):
+        cluster.cloud_step(leader)
+        cluster.step()
+    facts = scheduler.workload_facts()
+    assert facts.backlog_s[1] == pytest.approx(8 * 100.0 / 2, rel=0.2), (
+        "eight machines' worth on two machines"
+    )
+    assert facts.over_guarantee == {"open"}, "by its CPUs, however few"
+
+
 def test_a_new_leader_continues_the_level_during_a_flood(cluster: Cluster) -> None:
     answers = flood(cluster, 8, 1)
     before = stored_level(cluster)
--- a/tests/test_scaling.py
+++ b/tests/test_scaling.py
@@ -4,9 +4,8 @@
 
 import pytest
 from fakes.cluster import Cluster
-from fakes.scenarios import run_for, running_tasks, started_cluster
+from fakes.scenarios import reportable_tasks, run_for, running_tasks, started_cluster
 
-from bayford.protocol import message_sizes
 from bayford.protocol.cloud_api import NoCapacityError
 from bayford.scheduling import scaling
 
@@ -108,8 +107,7 @@
     fields: dict[str, Any],
 ) -> None:
     machines = []
-    reportable = message_sizes.reportable_tasks(message_sizes.longest_report_entry_bytes("req-000001", 9999))
-    for parts, cpus in ((16, 1.0), (4 * reportable, 1e-5)):  # either job fills four machines
+    for parts, cpus in ((16, 1.0), (4 * reportable_tasks(), 1e-5)):  # either job fills four machines
         cluster = started_cluster(machines=1)
         job = cluster.job(
             1, **{"crew": "blue", "mem_gb": 0.0, "guess_s": 500.0} | fields, parts=parts, cpus=cpus
@@ -125,9 +123,8 @@
 def test_urgent_tiny_tasks_get_on_demand_machines_when_no_spot_machine_can_be_launched(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    reportable = message_sizes.reportable_tasks(message_sizes.longest_report_entry_bytes("req-000001", 9999))
     running = []
-    for parts, cpus in ((16, 1.0), (4 * reportable, 1e-5)):  # either job fills four machines
+    for parts, cpus in ((16, 1.0), (4 * reportable_tasks(), 1e-5)):  # either job fills four machines
         cluster = started_cluster(machines=3)
         refuse_spot_machines(cluster, monkeypatch)
         job = cluster.job(
@@ -143,9 +140,8 @@
 def test_tiny_tasks_with_a_deadline_get_on_demand_machines_beside_running_tiny_tasks(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    reportable = message_sizes.reportable_tasks(message_sizes.longest_report_entry_bytes("req-000001", 9999))
     running = []
-    for per_machine, cpus in ((4, 1.0), (reportable, 1e-5)):
+    for per_machine, cpus in ((4, 1.0), (reportable_tasks(), 1e-5)):
         cluster = started_cluster(machines=3)
         refuse_spot_machines(cluster, monkeypatch)
         fields = {"crew": "blue", "cpus": cpus, "mem_gb": 0.0, "guess_s": 100.0}
