Join only parts of a relayed heartbeat that belong to the same split

Seen in a test only: parts 0 to 2 of a heartbeat in eight parts, followed by part 0 of the same heartbeat in two, counted as complete. The leader would have applied a heartbeat that lacks some tasks and lists others twice.

Cause: parts were joined by the heartbeat's order alone. A relay splits the same heartbeat otherwise if its limit on values rises, which no controller does by itself at present (limits are only lowered at run time, and a restarted relay hears a newer heartbeat), but nothing in the stored form rules it out.

Fix: parts with another total start a new collection.

--- a/bayford/coordination/workers/relayed_heartbeats.py
+++ b/bayford/coordination/workers/relayed_heartbeats.py
@@ -17,6 +17,7 @@
     """A heartbeat of which some parts have been read."""
 
     order: tuple[int, int]  # of the heartbeat
+    total: int  # number of parts into which it was split
     received_at: float  # wall clock, when its first part was read
     parts: dict[int, workers.Heartbeat] = field(default_factory=dict)  # by number
 
@@ -55,11 +56,11 @@
             return heartbeat
         self._drop_old(wall)
         incomplete = self._incomplete.get(heartbeat.machine)
-        if incomplete is None or incomplete.order < heartbeat.order:
-            incomplete = _IncompleteHeartbeat(heartbeat.order, wall)
-            self._incomplete[heartbeat.machine] = incomplete
-        if incomplete.order > heartbeat.order:
+        if incomplete is not None and incomplete.order > heartbeat.order:
             return None
+        if incomplete is None or (incomplete.order, incomplete.total) != (heartbeat.order, part.total):
+            incomplete = _IncompleteHeartbeat(heartbeat.order, part.total, wall)
+            self._incomplete[heartbeat.machine] = incomplete
         incomplete.parts[part.number] = heartbeat
         if len(incomplete.parts) < part.total:
             return None
--- a/tests/test_heartbeat_packing.py
+++ b/tests/test_heartbeat_packing.py
@@ -75,11 +75,11 @@
     return workers.Heartbeat("vm-1", "10.0.0.1:9", "small", "north", True, 1, sequence, 1, tasks)
 
 
-def rows_of(heartbeat: workers.Heartbeat, at: float = 0.0) -> list[Row]:
+def rows_of(heartbeat: workers.Heartbeat, at: float = 0.0, value_bytes: int = VALUE_BYTES) -> list[Row]:
     """The rows in which a relay passes a heartbeat on."""
-    texts = mesh.pack_heartbeats([heartbeat], VALUE_BYTES - ENVELOPE_BYTES)
+    texts = mesh.pack_heartbeats([heartbeat], value_bytes - ENVELOPE_BYTES)
     values = [{"at": at, "reports": text} for text in texts]
-    assert all(len(orjson.dumps(value)) <= VALUE_BYTES for value in values)
+    assert all(len(orjson.dumps(value)) <= value_bytes for value in values)
     return [Row(f"b/relay/n2/{number}", value, 1) for number, value in enumerate(values)]
 
 
@@ -109,6 +109,23 @@
     assert all(relayed.decode(Row(row.key, row.value | {"at": late}, 2), late)[1] == [] for row in older[1:])
 
 
+# Guards against a heartbeat that lacks tasks, or lists them twice, after the size of values has changed.
+@pytest.mark.parametrize(
+    ("before", "after"), [(VALUE_BYTES, 4 * VALUE_BYTES), (4 * VALUE_BYTES, VALUE_BYTES)]
+)
+@pytest.mark.parametrize("read_before", [1, 2, 3])
+def test_parts_of_the_same_heartbeat_that_was_split_twice_are_not_mixed(
+    before: int, after: int, read_before: int
+) -> None:
+    heartbeat = full_machine()
+    first, second = rows_of(heartbeat, value_bytes=before), rows_of(heartbeat, value_bytes=after)
+    assert len(first) != len(second) and min(len(first), len(second)) > 1
+    relayed = RelayedHeartbeats()
+    rows = [*first[: min(read_before, len(first) - 1)], *second]
+    results = [heartbeat for row in rows for heartbeat in relayed.decode(row, 0.0)[1]]
+    assert [sorted(result.tasks, key=lambda task: task.attempt) for result in results] == [heartbeat.tasks]
+
+
 def test_an_earlier_release_reads_the_ended_tasks_from_the_first_part() -> None:
     """It reads the first ten fields of a heartbeat and ignores the rest, as `tests/fixtures` has the form."""
     first = rows_of(full_machine())[0].value["reports"]
