--- a/bayford/coordination/leader/balancer.py
+++ b/bayford/coordination/leader/balancer.py
@@ -8,8 +8,8 @@
 
 from bayford.coordination.leader.commit_batch import Migration
 from bayford.coordination.leader.leader_state import LeaderState
+from bayford.coordination.leader.migration_rules import MigrationRules, job_and_task
 from bayford.coordination.leader.migrator import Migrator
-from bayford.protocol import workers
 from bayford.scheduling import placement_rules, resources, tempered
 from bayford.scheduling.model import GANG, SERVICE, AttemptKey, Job, Machine
 from bayford.scheduling.resources import EPS, Resources
@@ -17,11 +17,6 @@
 log = logging.getLogger(__name__)
 
 
-def job_and_task(key: AttemptKey) -> tuple[str, int]:
-    """Return the job id and the task number of an attempt."""
-    return workers.parse_task_id(key[0]) or ("", 0)
-
-
 class Balancer:
     """The balancer of the paper. The caller must hold the lock of the leader's state."""
 
@@ -105,6 +100,7 @@
             return None  # a task fits without migrations and will be placed in a coming round
         state.balancing_jobs += 1
         demand = job.demand
+        rules = MigrationRules(state, self._migrator)
         limits = tempered.SearchLimits(
             state.policy.balance_trials, state.policy.balance_iterations, max_moves
         )
@@ -114,7 +110,7 @@
             moved = state.jobs[job_and_task(key)[0]]
             if moved.is_service and spec.priority < moved.spec.priority:
                 return False
-            return self.can_move(key, target)
+            return rules.allow(key, target)
 
         best: tempered.Plan | None = None
         for source in self._find_sources(job, demand, allowed_machines, hosts):
@@ -155,40 +151,3 @@
             if movable and placement.running_since is not None and not placement.stopping:
                 items.append(tempered.Item(placement.key, placement.job.demand))
         return tempered.Host(machine.index, machine.cpus, machine.free, items)
-
-    def can_move(self, key: AttemptKey, target: int) -> bool:
-        """Return whether the task may be migrated to the machine `target` under the rules of its job. The
-        zone rules are evaluated without the task's current placement."""
-        state = self._state
-        job_id, task = job_and_task(key)
-        job, machine = state.jobs[job_id], state.machines[target]
-        zone = state.zone_of(job.open[task].machine)
-        zone_counts = placement_rules.placements_by_zone(job, state.zone_of)
-        if zone is not None:
-            zone_counts[zone] -= 1
-            if not zone_counts[zone]:
-                del zone_counts[zone]
-        if job.is_service and not self._can_move_replica(job, machine):
-            return False
-        return (
-            machine.zone is not None
-            and machine.zone not in state.closed_zones | state.returning_zones
-            and self._migrator.allows(job, task)
-            and machine.index not in job.failed_on
-            and placement_rules.type_allowed(job, machine)
-            and placement_rules.zone_allowed(job, machine.zone, zone_counts)
-        )
-
-    def _can_move_replica(self, job: Job, machine: Machine) -> bool:
-        """Return whether a replica may be migrated to the machine. A migration interrupts the replica, so the
-        target must hold the image and no replica of the service, and all replicas must be running and none
-        stopping; this also limits migrations to one replica of a service at a time."""
-        return (
-            bool(machine.images.get(job.image))
-            and not job.waiting
-            and not job.backing_off
-            and not any(placement.job is job for placement in machine.open.values())
-            and not any(
-                placement.stopping or placement.running_since is None for placement in job.open.values()
-            )
-        )
--- a/bayford/coordination/leader/load_spreader.py
+++ b/bayford/coordination/leader/load_spreader.py
@@ -7,9 +7,10 @@
 import logging
 from collections.abc import Callable
 
-from bayford.coordination.leader.balancer import Balancer, job_and_task
+from bayford.coordination.leader.balancer import Balancer
 from bayford.coordination.leader.commit_batch import Migration
 from bayford.coordination.leader.leader_state import LeaderState
+from bayford.coordination.leader.migration_rules import MigrationRules, job_and_task
 from bayford.coordination.leader.migrator import Migrator
 from bayford.scheduling import tempered
 from bayford.scheduling.model import ARRAY, AttemptKey, Job, Machine, Placement
@@ -100,8 +101,10 @@
             policy.balance_trials, policy.balance_iterations, tempered.budget(running, policy.balance_share)
         )
 
+        rules = MigrationRules(state, self._migrator)
+
         def allowed(key: AttemptKey, target: int) -> bool:
-            return self._can_migrate(key, target, now)
+            return self._is_worthwhile(key, target, now) and rules.allow(key, target)
 
         plan = rebalance(hosts, policy.spread_threshold, limits, allowed, state.rng)
         if plan is not None:
@@ -152,9 +155,8 @@
             return False
         return now - placement.running_since >= policy.spread_rest_s
 
-    def _can_migrate(self, key: AttemptKey, target: int, now: float) -> bool:
-        """Return whether the task may be migrated to the target and its remaining run time is long enough to
-        justify the migration."""
+    def _is_worthwhile(self, key: AttemptKey, target: int, now: float) -> bool:
+        """Return whether the task's remaining run time is long enough to justify the migration."""
         state = self._state
         job_id, task = job_and_task(key)
         job = state.jobs[job_id]
@@ -165,8 +167,7 @@
         left_s = state.expected_run_s(job) - ran_s
         fetch_s = 0.0 if machine.images.get(job.image) else state.fetch_s(job, machine)
         lost_s = 0.0 if job.spec.checkpoint_interval_s > 0 else ran_s
-        is_worthwhile = left_s > MIN_GAIN * (job.spec.checkpoint_save_s + fetch_s + lost_s)
-        return is_worthwhile and self._balancer.can_move(key, target)
+        return left_s > MIN_GAIN * (job.spec.checkpoint_save_s + fetch_s + lost_s)
 
     def _carry_out(self, plan: Rebalancing, snapshots: dict[int, MachineSnapshot], now: float) -> None:
         """Begin the plan's migrations. Each target is reserved for one job, so that no other job takes the
