--- a/bayford/coordination/leader/heartbeat_handler.py
+++ b/bayford/coordination/leader/heartbeat_handler.py
@@ -158,8 +158,8 @@
         been dropped or executed. A heartbeat that was only received after the cancellation proves nothing, as
         a network partition may have delayed it.
         """
-        now = self._state.clock()
-        for key, placement in list(machine.open.items()):
+        cancelled = [(key, p) for key, p in machine.open.items() if p.job.cancelled]
+        for key, placement in cancelled:
             is_absent = key not in phases and placement.epoch == machine.epoch
-            if placement.job.cancelled and is_absent and sent_after >= placement.job.cancel_learned_at:
-                self._state.close(machine, placement, now)
+            if is_absent and sent_after >= placement.job.cancel_learned_at:
+                self._state.close(machine, placement, self._state.clock())
--- a/bayford/coordination/leader/preemptor.py
+++ b/bayford/coordination/leader/preemptor.py
@@ -184,11 +184,12 @@
         for machine in self._search_window(candidates):
             if waiting.is_service and not placement_rules.is_stable(machine, now, max_silence_s):
                 continue
+            in_returning_zone = machine.zone in state.returning_zones
             victims = [
                 preemption.Victim(placement.job, placement, self._stop_cost(placement, search))
                 for placement in machine.open.values()
                 if not placement.unpreemptable
-                and self._respects_return_order(waiting, placement.job, machine)
+                and not (in_returning_zone and self._violates_return_order(waiting, placement.job))
                 and preemption.may_stop(waiting, placement.job, search.quotas, unmet_guarantee)
                 and not (skip_ending and self._ends_soon(placement, now))
             ]
@@ -201,15 +202,13 @@
         options.sort(key=lambda option: (option.cost, option.machine))
         return options
 
-    def _respects_return_order(self, waiting: Job, victim: Job, machine: Machine) -> bool:
-        """Return whether the waiting job may preempt the victim on the machine as far as zones are concerned.
+    def _violates_return_order(self, waiting: Job, victim: Job) -> bool:
+        """Return whether the waiting job may not preempt the victim on a machine of a returning zone.
 
-        In a returning zone, a job gets only the capacity that those before it in the return order leave.
+        There a job gets only the capacity that those before it in the return order leave.
         """
-        if machine.zone not in self._state.returning_zones:
-            return True
         order = self._state.policy.return_order
-        return return_order.rank(waiting, order) <= return_order.rank(victim, order)
+        return return_order.rank(waiting, order) > return_order.rank(victim, order)
 
     def _search_window(self, machines: list[Machine]) -> list[Machine]:
         """Return the machines that this search looks at, at most `preempt_machines`; successive searches take
--- a/bayford/coordination/leader/worker_commands.py
+++ b/bayford/coordination/leader/worker_commands.py
@@ -1,5 +1,6 @@
 """Commands from the leader to workers: in the answers to heartbeats, and as direct stop commands."""
 
+import operator
 from typing import NamedTuple
 
 from bayford.coordination.leader.leader_state import LeaderState
@@ -9,6 +10,8 @@
 
 IDLE_HOLD_SHARE = 0.75  # maximum hold of an idle machine's heartbeat, as a share of the heartbeat interval
 
+_is_durable = operator.attrgetter("durable")  # of a placement
+
 
 class PendingCommands(NamedTuple):
     """The commands with which to answer a heartbeat."""
@@ -143,6 +146,6 @@
             if not machine.open:
                 interval_s = self._state.settings.facts.workers.heartbeat_interval_s
                 return min(policy.hold_idle_s, interval_s * IDLE_HOLD_SHARE)
-            if machine.free_cpus > EPS or any(not p.durable for p in machine.open.values()):
+            if machine.free_cpus > EPS or not all(map(_is_durable, machine.open.values())):
                 return policy.hold_s
             return 0.0
--- a/bayford/scheduling/preemption.py
+++ b/bayford/scheduling/preemption.py
@@ -8,6 +8,7 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from bayford.scheduling.model import Job, JobSpec, Machine, Placement
 from bayford.scheduling.quota import TeamQuota
@@ -21,8 +22,7 @@
 RESTART_S = 10.0  # time until a stopped task runs again, including the image fetch
 
 
-@dataclass(frozen=True, slots=True)
-class Victim:
+class Victim(NamedTuple):
     """A running task that may be preempted."""
 
     job: Job
@@ -113,14 +113,16 @@
     needed, if all candidates together do not suffice, or if the task fits without preemption.
     """
     demand, free = waiting.demand, machine.free
-    remaining = iter(sorted(candidates, key=lambda victim: victim.loss / max(victim.job.spec.cpus, 0.1)))
+    if fits(demand, free):
+        return None
     chosen: list[Victim] = []
     loss = 0.0
-    while not fits(demand, free):
-        victim = next(remaining, None)
-        if victim is None or len(chosen) == max_victims:
+    for victim in sorted(candidates, key=lambda victim: victim.loss / max(victim.job.spec.cpus, 0.1)):
+        if len(chosen) == max_victims:
             return None
         chosen.append(victim)
         loss += victim.loss * victim.job.spec.cpus
         free = add(free, victim.job.demand)
-    return PreemptionOption(machine.index, chosen, loss) if chosen else None
+        if fits(demand, free):
+            return PreemptionOption(machine.index, chosen, loss)
+    return None
