--- a/bayford/coordination/workers/relay.py
+++ b/bayford/coordination/workers/relay.py
@@ -17,6 +17,7 @@
 from bayford.clock import NEVER
 from bayford.coordination.store_limits import StoreLimits
 from bayford.protocol import mesh, message_sizes, workers
+from bayford.scheduling.model import AttemptKey
 from bayford.storage import records
 from bayford.storage.key_value_store import Put
 from bayford.storage.watch_cache import WatchCache
@@ -204,7 +205,7 @@
         reported = {(task.task_id, task.attempt): task for task in heartbeat.tasks}
         stops: list[workers.Command] = []
         starts: list[workers.Start] = []
-        placed: set[tuple[str, int]] = set()
+        placed: set[AttemptKey] = set()
         for placement in self._watch_cache.placements_on(heartbeat.machine):
             if placement.epoch != heartbeat.epoch:
                 continue
@@ -225,7 +226,7 @@
         self,
         stops_and_reaps: list[workers.Command],
         starts: list[workers.Start],
-        reported: Collection[tuple[str, int]],
+        reported: Collection[AttemptKey],
     ) -> list[workers.Command]:
         """Returns the commands that fit into one response, and counts the others."""
         commands, deferred = message_sizes.bounded_commands(stops_and_reaps, starts, reported)
--- a/bayford/protocol/message_sizes.py
+++ b/bayford/protocol/message_sizes.py
@@ -14,13 +14,12 @@
 import msgspec
 
 from bayford.protocol import jobs, workers
+from bayford.scheduling.model import AttemptKey
 
 MAX_MESSAGE_BYTES = 64 * 1024  # of a request body, and of a line of a response
 MAX_INTEGER = 2**64 - 1  # of attempts, epochs, sequence numbers and fencing tokens
 LONGEST_DURATION_S = -1.2345678901234567e-300  # a number with as many characters as a float can have
 
-TaskKey = tuple[str, int]  # task id and attempt
-
 _REASONS = (
     workers.FULL,
     workers.BUSY,
@@ -117,7 +116,7 @@
 
 
 def reportable_starts(
-    starts: Sequence[workers.Start], listed: Collection[TaskKey]
+    starts: Sequence[workers.Start], listed: Collection[AttemptKey]
 ) -> Sequence[workers.Start]:
     """Return the leading starts whose tasks fit into the worker's heartbeat beside those that it lists."""
     if len(starts) + len(listed) <= MIN_REPORTABLE_TASKS:
@@ -147,7 +146,9 @@
 
 
 def bounded_commands(
-    stops_and_reaps: Sequence[workers.Command], starts: Sequence[workers.Start], listed: Collection[TaskKey]
+    stops_and_reaps: Sequence[workers.Command],
+    starts: Sequence[workers.Start],
+    listed: Collection[AttemptKey],
 ) -> BoundedCommands:
     """Return the commands for a response to a heartbeat; what does not fit goes into the next response.
 
