Log notices of cancellations that expire undelivered

What an operator saw: nothing. Notices that could not be delivered to the leader for cancel_s were dropped without a word, many at once if the leader stayed out of reach. Found by reading along the limit of messages; no case in which a task ran on for it (the leader reads cancellations from the state service too). Test: test_notices_that_expire_undelivered_are_counted_in_the_log, failed before for want of the line.

--- a/bayford/coordination/api/cancellation_notices.py
+++ b/bayford/coordination/api/cancellation_notices.py
@@ -86,9 +86,16 @@
         """Drop the notices older than `cancel_s`. Returns the remaining ones."""
         wall = self._wall()
         with self._lock:
+            pending_before = len(self._pending)
             self._pending = {
                 job_id: cancelled_at
                 for job_id, cancelled_at in self._pending.items()
                 if wall - cancelled_at < self._cancel_s
             }
-            return dict(self._pending)
+            remaining = dict(self._pending)
+        expired = pending_before - len(remaining)
+        if expired:
+            log.info(
+                "cancellation notices expired undelivered: count=%d max_age_s=%g", expired, self._cancel_s
+            )
+        return remaining
--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -366,6 +366,21 @@
     assert messages_left > 95, "only the rest is sent again, in few messages"
 
 
+# Guards against notices that are dropped without a trace when the leader stays out of reach.
+def test_notices_that_expire_undelivered_are_counted_in_the_log(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level("INFO")
+    wall = 1_764_888_888.0
+    notices = CancellationNotices(
+        "n0", {"n1": lambda cancelled: False}, lambda: "n1", cancel_s=42.0, wall=lambda: wall
+    )
+    for number in range(2000):
+        notices.add(f"req-{number:06d}", wall)
+    assert not notices.send()
+    wall += 42.0
+    assert notices.send()
+    assert caplog.messages == ["cancellation notices expired undelivered: count=2000 max_age_s=42"]
+
+
 # Guards against an answer to a user that is over the limit for some job that can be accepted.
 def test_the_answers_about_the_largest_accepted_job_are_short() -> None:
     cluster = started_cluster(machines=1)
