Test the stops of a relay in an outage, and the longest heartbeat of a full machine

The relay test fails on the sources before the bound with a response of 118,931 bytes. The other one checks the derivation: longest names, integers and duration around the longest entries fit, one entry more does not.

--- a/tests/test_message_sizes.py
+++ b/tests/test_message_sizes.py
@@ -202,6 +202,25 @@
     assert worker.epoch == 1
 
 
+# Guards against a response of over 64 KiB from a relay that can't read the state service.
+def test_a_relay_in_an_outage_sends_the_stops_that_do_not_fit_in_the_following_responses() -> None:
+    cluster = started_cluster(machines=1, nodes=3)
+    relay = cluster.nodes[leader_and_other(cluster)[2]].relay
+    worker = cluster.first_worker()
+    relay.on_cancelled([LONGEST_JOB_ID])
+    for number in range(1000):
+        worker.tasks[f"{LONGEST_JOB_ID}/{number}", 1] = Attempt(f"{LONGEST_JOB_ID}/{number}", 1, "running")
+    responses = 0
+    while worker.running():
+        stops = relay.stop_commands(worker.heartbeat())
+        assert stops and len(workers.encode_response(LARGEST_INTEGER, stops)) <= MAX_MESSAGE_BYTES
+        for stop in stops:
+            worker.tasks[stop.task_id, stop.attempt].phase = "ended"
+        responses += 1
+    assert responses == 2
+    assert relay.deferred_commands > 0
+
+
 # Guards against a relayed heartbeat that is too large for a value of the state service.
 def test_the_leader_hears_of_all_tasks_of_a_full_machine_that_only_a_relay_reaches() -> None:
     cluster = started_cluster(machines=1, nodes=3, value_kb=4.0)
@@ -242,6 +261,33 @@
     assert len(chosen) == max(0, min(400, message_sizes.MIN_REPORTABLE_TASKS - listed))
 
 
+# Guards against room for the tasks alone: the fields around them may be long too.
+def test_the_longest_heartbeat_of_a_full_machine_fits_and_one_with_another_task_may_not() -> None:
+    name = "x" * jobs.MAX_NAME
+    sizes = []
+    for count in (message_sizes.MIN_REPORTABLE_TASKS, message_sizes.MIN_REPORTABLE_TASKS + 1):
+        tasks = [
+            workers.TaskState(
+                f"{LONGEST_JOB_ID}/{jobs.MAX_TASKS - 1}", LARGEST_INTEGER, "ended", "incomplete"
+            )
+            for _ in range(count)
+        ]
+        heartbeat = workers.Heartbeat(
+            machine=name,
+            address=name,
+            type=name,
+            zone=name,
+            spot=False,
+            epoch=LARGEST_INTEGER,
+            sequence=LARGEST_INTEGER,
+            fencing_token=LARGEST_INTEGER,
+            tasks=tasks,
+            reclaim_notice_s=message_sizes.LONGEST_DURATION_S,
+        )
+        sizes.append(len(spaced_and_reordered(msgspec.to_builtins(heartbeat))))
+    assert sizes[0] <= MAX_MESSAGE_BYTES < sizes[1]
+
+
 def reports_fit(cluster: Cluster) -> bool:
     """Whether no worker had a heartbeat refused or lost its lease, and each machine's tasks are in bounds."""
     machines = leader_of(cluster).scheduler.state.machines.values()
