Avoid the machines on which a job failed instead of excluding them

Cause: placement_rules.eligible excluded the machines in Job.failed_on for good; a site with fewer than three machines with room had none left. All else (scaling, idle machines) took such room for room. Fix: FailedMachines remembers where the job failed; such a machine is the last resort for 30 to 60 s and is used at once if no other has room. placement_rules.suitability answers for placement, preemption, migration, services and gangs.

--- a/bayford/coordination/leader/balancer.py
+++ b/bayford/coordination/leader/balancer.py
@@ -100,7 +100,7 @@
             return None  # a task fits without migrations and will be placed in a coming round
         state.balancing_jobs += 1
         demand = job.demand
-        rules = MigrationRules(state, self._migrator)
+        rules = MigrationRules(state, self._migrator, now)
         limits = tempered.SearchLimits(
             state.policy.balance_trials, state.policy.balance_iterations, max_moves
         )
@@ -113,17 +113,22 @@
             return rules.allow(key, target)
 
         best: tempered.Plan | None = None
-        for source in self._find_sources(job, demand, allowed_machines, hosts):
+        for source in self._find_sources(job, demand, allowed_machines, hosts, now):
             plan = tempered.free_room(list(hosts.values()), source, demand, limits, allowed, state.rng)
             if plan is not None and (best is None or plan.imbalance < best.imbalance):
                 best = plan
         return best
 
     def _find_sources(
-        self, job: Job, demand: Resources, machines: list[Machine], hosts: dict[int, tempered.Host]
+        self,
+        job: Job,
+        demand: Resources,
+        machines: list[Machine],
+        hosts: dict[int, tempered.Host],
+        now: float,
     ) -> list[int]:
-        """Return the machines where migrations could free enough room, at most `balance_sources`, those that
-        lack the fewest CPUs first."""
+        """Return the machines where migrations could free enough room, at most `balance_sources`: those that
+        the job avoids last, then those that lack the fewest CPUs first."""
         ranked = []
         for machine in machines:
             host = hosts.get(machine.index)
@@ -133,8 +138,9 @@
             for item in host.items:
                 room = resources.add(room, item.demand)
             if resources.fits(demand, room):
-                ranked.append((job.spec.cpus - machine.free_cpus, machine.index))
-        return [index for _, index in sorted(ranked)[: self._state.policy.balance_sources]]
+                is_avoided = placement_rules.is_avoided(job, machine, now)
+                ranked.append((is_avoided, job.spec.cpus - machine.free_cpus, machine.index))
+        return [index for _, _, index in sorted(ranked)[: self._state.policy.balance_sources]]
 
     def sample_machines(self, usable: list[Machine]) -> list[Machine]:
         """Return the machines that a balancing round considers: in a large fleet a random sample of
--- a/bayford/coordination/leader/load_spreader.py
+++ b/bayford/coordination/leader/load_spreader.py
@@ -101,7 +101,7 @@
             policy.balance_trials, policy.balance_iterations, tempered.budget(running, policy.balance_share)
         )
 
-        rules = MigrationRules(state, self._migrator)
+        rules = MigrationRules(state, self._migrator, now)
 
         def allowed(key: AttemptKey, target: int) -> bool:
             return self._is_worthwhile(key, target, now) and rules.allow(key, target)
--- a/bayford/coordination/leader/machine_deletions.py
+++ b/bayford/coordination/leader/machine_deletions.py
@@ -3,7 +3,7 @@
 import logging
 
 from bayford.coordination.leader.leader_state import LeaderState
-from bayford.coordination.leader.machine_health import MIN_HEALTHY_RUN_S
+from bayford.coordination.leader.machine_health import MachineHealth
 from bayford.coordination.leader.scaling_actions import Deletion
 from bayford.scheduling import scaling
 from bayford.scheduling.model import Machine
@@ -34,6 +34,7 @@
 
     def __init__(self, state: LeaderState) -> None:
         self._state = state
+        self._health = MachineHealth(state)
 
     def decide(self, now: float, has_waiting_tasks: bool, listening_since: float) -> list[Deletion]:
         """Mark the machines to delete and return their deletions.
@@ -124,7 +125,7 @@
             return "gone from the cloud's list"
         if silent_for_s > limit_s:
             return f"silent for {silent_for_s:.0f} s"
-        if machine.quarantined and not self._runs_services(machine, now):
+        if machine.quarantined and not self._health.keeps_services(machine, now):
             return "quarantined"
         if machine.reclaim_at is not None and not machine.open:
             return "to be taken by the cloud, empty"
@@ -140,17 +141,6 @@
             return "never came up"
         return ""
 
-    def _runs_services(self, machine: Machine, now: float) -> bool:
-        """Return whether replicas of services run stably on this quarantined machine.
-
-        Tasks started on the machine fail, but deleting it would also end these replicas, which would be down
-        until they have started elsewhere.
-        """
-        return not machine.lost and any(
-            p.job.is_service and p.running_since is not None and now - p.running_since > MIN_HEALTHY_RUN_S
-            for p in machine.open.values()
-        )
-
     def _is_surplus(self, machine: Machine, now: float, has_waiting_tasks: bool, idle_cpus: float) -> bool:
         """Return whether an empty machine has been idle long enough to be deleted.
 
--- a/bayford/coordination/leader/machine_health.py
+++ b/bayford/coordination/leader/machine_health.py
@@ -4,7 +4,7 @@
 
 from bayford.coordination.leader.leader_state import LeaderState
 from bayford.protocol import workers
-from bayford.scheduling.model import AttemptKey, Job, Machine
+from bayford.scheduling.model import AttemptKey, Job, Machine, Placement
 
 log = logging.getLogger(__name__)
 
@@ -99,11 +99,37 @@
             and not job.is_service
         )
         if (has_several_failed_jobs or has_one_failing_job) and not machine.quarantined:
-            machine.quarantined = True
-            log.error(
-                "machine quarantined: machine=%s failed_jobs=%s",
-                machine.name,
-                ",".join(machine.failures_by_job),
-            )
+            self._quarantine(machine)
         elif not has_several_failed_jobs:
             machine.backoff_until = max(machine.backoff_until, now + MACHINE_BACKOFF_S)
+
+    def on_only_machine_failed(self, machine: Machine, now: float) -> None:
+        """Handle a job that failed again and again on this machine and was on no other.
+
+        Quarantines the machine, so that it is replaced, unless a task that runs there shows that it works.
+        """
+        if not machine.quarantined and not any(
+            runs_stably(placement, now) for placement in machine.open.values()
+        ):
+            self._quarantine(machine)
+
+    def _quarantine(self, machine: Machine) -> None:
+        machine.quarantined = True
+        log.error(
+            "machine quarantined: machine=%s failed_jobs=%s", machine.name, ",".join(machine.failures_by_job)
+        )
+
+    def keeps_services(self, machine: Machine, now: float) -> bool:
+        """Return whether replicas of services run stably on this quarantined machine.
+
+        Tasks started on the machine fail, but deleting it would also end these replicas, which would be down
+        until they have started elsewhere.
+        """
+        return not machine.lost and any(
+            placement.job.is_service and runs_stably(placement, now) for placement in machine.open.values()
+        )
+
+
+def runs_stably(placement: Placement, now: float) -> bool:
+    """Return whether the task has run long enough to show that its machine works."""
+    return placement.running_since is not None and now - placement.running_since > MIN_HEALTHY_RUN_S
--- a/bayford/coordination/leader/migration_rules.py
+++ b/bayford/coordination/leader/migration_rules.py
@@ -19,9 +19,10 @@
     counted once for each job.
     """
 
-    def __init__(self, state: LeaderState, migrator: Migrator) -> None:
+    def __init__(self, state: LeaderState, migrator: Migrator, now: float) -> None:
         self._state = state
         self._migrator = migrator
+        self._now = now
         self._zone_counts: dict[str, dict[int, int]] = {}  # by job id: open placements by zone
 
     def allow(self, key: AttemptKey, target: int) -> bool:
@@ -31,15 +32,20 @@
         job_id, task = job_and_task(key)
         job, machine = state.jobs[job_id], state.machines[target]
         return (
-            machine.zone is not None
-            and machine.zone not in state.closed_zones | state.returning_zones
+            machine.zone not in state.closed_zones | state.returning_zones
             and self._migrator.allows(job, task)
-            and machine.index not in job.failed_on
-            and placement_rules.type_allowed(job, machine)
             and (not job.is_service or self._can_move_replica(job, machine))
-            and placement_rules.zone_allowed(job, machine.zone, self._zone_counts_without(job, task))
+            and self._is_preferred(job, task, machine)
         )
 
+    def _is_preferred(self, job: Job, task: int, machine: Machine) -> bool:
+        """Return whether the machine is as good as any for the task: a task that runs is not moved to a
+        machine that is a last resort."""
+        by_zone = job.spec.one_zone or job.spec.spread
+        zone_counts = self._zone_counts_without(job, task) if by_zone else {}
+        suitability = placement_rules.suitability(job, machine, zone_counts, self._now)
+        return suitability is placement_rules.Suitability.PREFERRED
+
     def _zone_counts_without(self, job: Job, task: int) -> dict[int, int]:
         """Return the number of the job's open placements by zone, without the placement of this task."""
         zone_of = self._state.zone_of
--- a/bayford/coordination/leader/preemptor.py
+++ b/bayford/coordination/leader/preemptor.py
@@ -182,7 +182,7 @@
         options: list[preemption.PreemptionOption] = []
         candidates = placement_rules.candidates(waiting, search.machines, zone_counts, now)
         for machine in self._search_window(candidates):
-            if waiting.is_service and not placement_rules.is_stable(machine, now, max_silence_s):
+            if waiting.is_service and not placement_rules.is_responsive(machine, now, max_silence_s):
                 continue
             in_returning_zone = machine.zone in state.returning_zones
             victims = [
@@ -198,8 +198,9 @@
             option = preemption.choose_victims(machine, waiting, victims, MAX_STOPS_PER_MACHINE)
             if option is not None:
                 option.cost = self._placement_cost(machine, waiting, option.cost)
+                option.is_last_resort = placement_rules.is_avoided(waiting, machine, now)
                 options.append(option)
-        options.sort(key=lambda option: (option.cost, option.machine))
+        options.sort(key=lambda option: (option.is_last_resort, option.cost, option.machine))
         return options
 
     def _violates_return_order(self, waiting: Job, victim: Job) -> bool:
--- a/bayford/coordination/leader/task_failures.py
+++ b/bayford/coordination/leader/task_failures.py
@@ -4,7 +4,7 @@
 import logging
 
 from bayford.coordination.leader.leader_state import LeaderState
-from bayford.coordination.leader.machine_health import MIN_HEALTHY_RUN_S, MachineHealth
+from bayford.coordination.leader.machine_health import MachineHealth, runs_stably
 from bayford.protocol import workers
 from bayford.scheduling.model import Job, Machine, Placement
 
@@ -12,13 +12,13 @@
 
 MIN_STEADY_RUN_S = 30.0  # a run longer than this resets a replica's back-off
 MAX_REPLICA_BACKOFF_S = 30.0
-MAX_JOB_BACKOFF_S = 60.0
+MAX_JOB_BACKOFF_S = 45.0
 MAX_BACKOFF_DOUBLINGS = 5
 MAX_REPLICA_BACKOFF_DOUBLINGS = 10
 JOB_FAULT_BACKOFF_S = 8.0  # first back-off of a job that fails on every machine
 REFUSED_BACKOFF_S = 2.0  # back-off of a job that a worker refused to run
 FULL_MACHINE_BACKOFF_S = 1.0
-MAX_FAILED_MACHINES = 8  # number of machines that a job avoids after failures; if more, the list is cleared
+COMPLETION_MEMORY_S = 30.0  # how long a completed task shows that its job is not at fault
 
 
 class TaskFailures:
@@ -39,7 +39,7 @@
             machine.backoff_until = now + FULL_MACHINE_BACKOFF_S
             log.debug("task refused: task=%s machine=%s reason=full", placement.task_id, machine.name)
         elif reason == workers.ERROR:
-            self._on_failed(machine, job, placement.task_id, now)
+            self._on_failed(machine, placement, now)
         else:
             log.info("task refused: task=%s machine=%s reason=%s", placement.task_id, machine.name, reason)
             if reason == workers.UNKNOWN and job.not_before <= now:
@@ -78,39 +78,46 @@
         job.not_before = now + wait_s
         return wait_s
 
-    def _on_failed(self, machine: Machine, job: Job, task_id: str, now: float) -> None:
-        """Attribute a task's failure: to the job if it fails on every machine, otherwise to the machine."""
+    def _on_failed(self, machine: Machine, placement: Placement, now: float) -> None:
+        """Attribute a task's failure: to the job if it fails wherever it runs, otherwise to the machine."""
+        job = placement.job
         job.errors += 1
-        job.failed_on.add(machine.index)
+        job.failed_runs += job.failed_on.record(machine.index, placement.placed_at, now)
         machine.failed_at = now
         machine.failures_by_job[job.spec.id] = machine.failures_by_job.get(job.spec.id, 0) + 1
         log.error(
             "task failed: task=%s machine=%s job_failures=%d job_failed_machines=%d",
-            task_id,
+            placement.task_id,
             machine.name,
             job.errors,
             len(job.failed_on),
         )
         runs_elsewhere = self._runs_elsewhere(job, now)
-        if len(job.failed_on) >= self._state.policy.job_fault_machines and not runs_elsewhere:
-            job.failed_on.clear()
-            if not job.is_service:  # replicas of a service back off individually
-                wait_s = self._back_off(job, now, JOB_FAULT_BACKOFF_S)
-                log.error("job backed off, fails on every machine: job=%s wait_s=%.0f", job.spec.id, wait_s)
-            return
-        if len(job.failed_on) > MAX_FAILED_MACHINES:
-            job.failed_on.clear()
-        self._health.on_task_failed(machine, job, runs_elsewhere, now)
+        if job.failed_runs >= self._state.policy.job_fault_machines and not runs_elsewhere:
+            self._on_job_fault(machine, job, now)
+        else:
+            self._health.on_task_failed(machine, job, runs_elsewhere, now)
+
+    def _on_job_fault(self, machine: Machine, job: Job, now: float) -> None:
+        """Handle the last of several failed runs of a job that runs nowhere."""
+        job.failed_runs = 0
+        if not job.is_service:  # replicas of a service back off individually
+            wait_s = self._back_off(job, now, JOB_FAULT_BACKOFF_S)
+            log.error("job backed off, fails on every machine: job=%s wait_s=%.0f", job.spec.id, wait_s)
+        if set(job.failed_on) == {machine.index}:
+            # Nothing shows yet whether the job or its only machine is at fault. Another machine will.
+            self._health.on_only_machine_failed(machine, now)
 
     def _runs_elsewhere(self, job: Job, now: float) -> bool:
-        """Return whether the job has completed tasks, or runs on machines on which it has not failed.
+        """Return whether tasks of the job complete, or run on machines on which none failed since they began.
 
         Among hundreds of machines several may be faulty at the same time, and a large array job is placed on
         several of them. As long as it runs elsewhere, the job is not at fault.
         """
-        return bool(job.done) or any(
-            placement.running_since is not None
-            and now - placement.running_since > MIN_HEALTHY_RUN_S
-            and placement.machine not in job.failed_on
+        if job.done and now - max(job.completed_at, self._state.leader_since) <= COMPLETION_MEMORY_S:
+            return True
+        return any(
+            runs_stably(placement, now)
+            and not job.failed_on.failed_since(placement.machine, placement.placed_at)
             for placement in job.open.values()
         )
--- a/bayford/coordination/leader/task_placer.py
+++ b/bayford/coordination/leader/task_placer.py
@@ -1,7 +1,9 @@
 """Places a job's waiting tasks on machines under the rules of `scheduling.placement_rules`."""
 
+import functools
 import logging
 from collections.abc import Callable
+from typing import NamedTuple
 
 from bayford.coordination.leader.leader_state import LeaderState
 from bayford.coordination.leader.load_spreader import LoadSpreader
@@ -9,6 +11,7 @@
 from bayford.recovery import return_order
 from bayford.scheduling import placement_rules
 from bayford.scheduling.model import GANG, URGENT, Job, Machine
+from bayford.scheduling.placement_rules import Suitability
 from bayford.spread.score import Choice
 
 log = logging.getLogger(__name__)
@@ -18,6 +21,13 @@
 MachineFilter = Callable[[Machine], bool]
 
 
+class MachineFilters(NamedTuple):
+    """Which machines the tasks of a job may use now, regardless of free capacity."""
+
+    is_preferred: MachineFilter
+    is_last_resort: MachineFilter  # if no preferred machine has room
+
+
 class TaskPlacer:
     """Places the tasks of one job at a time. The caller must hold the lock of the leader's state."""
 
@@ -47,25 +57,40 @@
             and job.has_spot_machines
         )
 
-        def is_allowed(machine: Machine) -> bool:
+        def is_allowed(wanted: Suitability, machine: Machine) -> bool:
             return (
-                placement_rules.eligible(job, machine, zone_counts, now)
+                placement_rules.suitability(job, machine, zone_counts, now) is wanted
                 and (not spot_only or machine.spot or machine.index in self._state.service_machines)
                 and self._is_zone_allowed(job, machine, returning)
             )
 
-        def can_take(machine: Machine) -> bool:
-            return is_allowed(machine) and (not with_image_only or job.image in machine.images)
-
-        machines_with_room = self._state.capacity_index.machines
+        allowed = MachineFilters(
+            functools.partial(is_allowed, Suitability.PREFERRED),
+            functools.partial(is_allowed, Suitability.LAST_RESORT),
+        )
+        if job.spec.shape != GANG and not job.is_service and not by_zone:
+            self._place_array(job, count, allowed, with_image_only, now)
+            return
+        preferred = self._machines_with_room(job, allowed.is_preferred, with_image_only)
+        last_resorts = (
+            [] if with_image_only else self._machines_with_room(job, allowed.is_last_resort, with_image_only)
+        )
         if job.spec.shape == GANG:
-            self._place_gang(job, [m for m in machines_with_room.values() if can_take(m)], now)
+            self._place_gang(job, preferred, last_resorts, now)
         elif job.is_service:
-            self._place_service(job, count, [m for m in machines_with_room.values() if can_take(m)], now)
-        elif by_zone:
-            self._place_by_zone(job, count, [m for m in machines_with_room.values() if can_take(m)], now)
+            self._place_service(job, count, preferred + last_resorts, now)
         else:
-            self._place_array(job, count, is_allowed, with_image_only, now)
+            self._place_by_zone(job, count, preferred, last_resorts, now)
+
+    def _machines_with_room(
+        self, job: Job, is_allowed: MachineFilter, with_image_only: bool
+    ) -> list[Machine]:
+        """Return the allowed machines that have free capacity, though maybe not enough for a task."""
+        return [
+            machine
+            for machine in self._state.capacity_index.machines.values()
+            if (not with_image_only or job.image in machine.images) and is_allowed(machine)
+        ]
 
     def _is_zone_allowed(self, job: Job, machine: Machine, returning: bool) -> bool:
         """Return whether the state of the machine's zone allows a task of the job on the machine."""
@@ -78,22 +103,24 @@
         )
 
     def _place_array(
-        self, job: Job, count: int, can_take: MachineFilter, with_image_only: bool, now: float
+        self, job: Job, count: int, allowed: MachineFilters, with_image_only: bool, now: float
     ) -> None:
-        """Place tasks of an array that has no zone rules. Without load spread, at most `count` candidate
+        """Place tasks of an array that has no zone rules. Without load spread, at most `count` preferred
         machines are considered, since no more than one machine per task is needed."""
         quota = self._state.quotas[job.team]
         count = min(count, len(job.waiting), quota.headroom(job.spec))
         if count <= 0:
             return
+        last_resorts = [] if with_image_only else self._last_resorts(job, allowed.is_last_resort)
         if self._state.policy.spread:
-            self._place_by_cost(job, count, can_take, now)
+            self._place_by_cost(job, count, allowed.is_preferred, last_resorts, now)
             return
-        machines = self._state.capacity_index.best(job, count, can_take, with_image_only)
+        machines = self._state.capacity_index.best(job, count, allowed.is_preferred, with_image_only)
+        machines += last_resorts
         starved = self._queue.is_starved(job, now)
         placed = 0
         while placed < count:
-            machine = self._take_hinted_machine(job, can_take) or placement_rules.first_with_room(
+            machine = self._take_hinted_machine(job, allowed.is_preferred) or placement_rules.first_with_room(
                 job, machines
             )
             if machine is None:
@@ -104,9 +131,18 @@
         if placed:
             log.debug("placed: job=%s tasks=%d waiting=%d", job.spec.id, placed, len(job.waiting))
 
-    def _place_by_cost(self, job: Job, count: int, can_take: MachineFilter, now: float) -> None:
+    def _last_resorts(self, job: Job, is_last_resort: MachineFilter) -> list[Machine]:
+        """Return the machines with room on which tasks of this array failed lately, the best first."""
+        with_room = self._state.capacity_index.machines
+        failed_on = [with_room[index] for index in job.failed_on if index in with_room]
+        return placement_rules.ranked(job, [machine for machine in failed_on if is_last_resort(machine)])
+
+    def _place_by_cost(
+        self, job: Job, count: int, can_take: MachineFilter, last_resorts: list[Machine], now: float
+    ) -> None:
         """Place tasks of an array when load spread is enabled. Each task goes to the machine with the lowest
-        cost, given the capacity already reserved for the tasks before it."""
+        cost, given the capacity already reserved for the tasks before it, and to one of `last_resorts` if no
+        other has room."""
         chooser = self._spreader.chooser(job, count, can_take)
         starved = self._queue.is_starved(job, now)
         choices: list[Choice] = []
@@ -115,12 +151,14 @@
             machine = self._take_hinted_machine(job, can_take)
             if machine is None:
                 choice = chooser.next()
-                if choice is None:
-                    job.waiting_reason = NO_ROOM
-                    break
-                machine = choice.machine
-                had_image.setdefault(machine.index, machine.images.get(job.image, False))
-                choices.append(choice)
+                if choice is not None:
+                    machine = choice.machine
+                    had_image.setdefault(machine.index, machine.images.get(job.image, False))
+                    choices.append(choice)
+            machine = machine or placement_rules.first_with_room(job, last_resorts)
+            if machine is None:
+                job.waiting_reason = NO_ROOM
+                break
             self._assign(job, job.waiting.pop(), machine, now, starved)
             if choices and choices[-1].machine is machine:
                 chooser.return_machine(choices[-1])
@@ -133,10 +171,12 @@
         machine = None if hint is None else self._state.machines.get(hint)
         return machine if machine is not None and machine.has_room(job) and can_take(machine) else None
 
-    def _place_by_zone(self, job: Job, count: int, machines: list[Machine], now: float) -> None:
+    def _place_by_zone(
+        self, job: Job, count: int, preferred: list[Machine], last_resorts: list[Machine], now: float
+    ) -> None:
         """Place tasks of an array that is restricted to one zone or spread over zones. Each placement changes
         which zones are allowed for the next one."""
-        machines = placement_rules.ranked(job, machines)
+        machines = placement_rules.ranked(job, preferred) + placement_rules.ranked(job, last_resorts)
         quota = self._state.quotas[job.team]
         starved = self._queue.is_starved(job, now)
         while job.waiting and count > 0 and quota.allows(job.spec):
@@ -155,7 +195,7 @@
         """Place replicas of a service one by one, because each placement changes which machine is best for
         the next."""
         max_silence_s = self._state.max_heartbeat_age_s
-        machines = [m for m in machines if placement_rules.is_stable(m, now, max_silence_s)]
+        machines = [m for m in machines if placement_rules.is_responsive(m, now, max_silence_s)]
         quota = self._state.quotas[job.team]
         while job.waiting and count > 0 and quota.allows(job.spec):
             zone_counts = placement_rules.placements_by_zone(job, self._state.zone_of)
@@ -173,6 +213,7 @@
             best = min(
                 fitting,
                 key=lambda m: (
+                    placement_rules.is_avoided(job, m, now),
                     m.index != hint,
                     *placement_rules.replica_rank(
                         job, m, zone_counts, self._state.fetch_s(job, m), self._state.policy.spread_s
@@ -182,9 +223,13 @@
             self._assign(job, job.waiting.pop(), best, now, unpreemptable=False)
             count -= 1
 
-    def _place_gang(self, job: Job, machines: list[Machine], now: float) -> None:
+    def _place_gang(
+        self, job: Job, preferred: list[Machine], last_resorts: list[Machine], now: float
+    ) -> None:
         """Place all waiting tasks of a gang in one transaction, or none of them."""
-        chosen = placement_rules.choose_gang(job, machines, len(job.waiting))
+        chosen = placement_rules.choose_gang(job, preferred, len(job.waiting))
+        if chosen is None and last_resorts:
+            chosen = placement_rules.choose_gang(job, preferred + last_resorts, len(job.waiting))
         if chosen is None:
             job.waiting_reason = "no room for the whole gang"
             return
--- a/bayford/coordination/leader/task_reconciliation.py
+++ b/bayford/coordination/leader/task_reconciliation.py
@@ -105,6 +105,9 @@
         """Record the completion of a task."""
         job = placement.job
         job.done.add(placement.task)
+        job.completed_at = now
+        job.failed_runs = 0
+        job.failed_on.forget(machine.index)
         self._state.events.on_task_done(placement)
         self._state.use_image(machine, job, is_fetched=True)
         machine.completed_tasks += 1
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from bayford.clock import NEVER
+from bayford.scheduling.failed_machines import FailedMachines
 from bayford.scheduling.resources import EPS, Resources
 
 PRIORITIES = ("idle", "normal", "urgent", "critical")
@@ -170,7 +171,9 @@
     not_before: float = 0.0  # back-off: no task of the job is placed before this time
     errors: int = 0  # number of task failures
     backoff_count: int = 0  # number of back-offs of the whole job so far; each one lasts longer
-    failed_on: set[int] = field(default_factory=set)  # machines where a task failed; the job avoids them
+    failed_runs: int = 0  # since a task completed or the job was last found to be at fault
+    failed_on: FailedMachines = field(default_factory=FailedMachines)
+    completed_at: float = NEVER  # when this leader last saw a task complete
     # Task -> machine that it is being migrated to.
     migration_targets: dict[int, int] = field(default_factory=dict)
     # For replicas of a service that exit by themselves: the number of exits in a row, and when the back-off
@@ -196,13 +199,7 @@
         return self.spec.shape == SERVICE
 
     def requeue_backed_off(self, now: float) -> None:
-        """Requeue replicas whose back-off has expired. Call only while some replica is backed off.
-
-        If there are any, `failed_on` is cleared first: on a small site the job may have failed on every
-        machine and would otherwise find none left.
-        """
-        if min(self.backing_off.values()) <= now:
-            self.failed_on.clear()
+        """Requeue replicas whose back-off has expired."""
         for task in [t for t, until in self.backing_off.items() if until <= now]:
             del self.backing_off[task]
             self.requeue(task)
--- a/bayford/scheduling/placement_rules.py
+++ b/bayford/scheduling/placement_rules.py
@@ -3,16 +3,23 @@
 Pure: the functions read the machines' free capacity and the job's open placements and leave them unchanged.
 """
 
+import enum
 from collections.abc import Callable, Iterable, Sequence
 
 from bayford.scheduling.model import Job, Machine
 
-# Seconds after a task failure during which a machine gets no replicas. The time is limited because a job that
-# fails on every machine would otherwise exclude all machines from services for good: replicas never complete,
-# so they never show a machine to be healthy.
+# Seconds after a task failure, of whichever job, during which a machine is the last choice for replicas.
 FAILURE_MEMORY_S = 15.0
 
 
+class Suitability(enum.IntEnum):
+    """Whether a task may start on a machine, regardless of free capacity. Lower is better."""
+
+    PREFERRED = 0
+    LAST_RESORT = 1  # it may, but tasks failed there lately; for when no preferred machine has room
+    EXCLUDED = 2
+
+
 def placements_by_zone(job: Job, zone_of: Callable[[int], int | None]) -> dict[int, int]:
     """Returns the number of the job's open placements by zone. Machines of unknown zone are not counted."""
     zone_counts: dict[int, int] = {}
@@ -41,24 +48,41 @@
     return (job.types is None or machine.type in job.types) and (job.spec.spot or not machine.spot)
 
 
-def eligible(job: Job, machine: Machine, zone_counts: dict[int, int], now: float) -> bool:
-    """Returns whether a task of the job may start on the machine now, regardless of free capacity."""
-    return (
+def suitability(job: Job, machine: Machine, zone_counts: dict[int, int], now: float) -> Suitability:
+    """Returns whether a task of the job may start on the machine now, and with which preference.
+
+    Regardless of free capacity. Each condition here ends by itself in time for the bound on waiting in
+    docs/safety-argument.md ("Waiting beside a machine with room").
+    """
+    if not (
         machine.usable
         and machine.backoff_until <= now
         and machine.zone is not None
         and type_allowed(job, machine)
         and zone_allowed(job, machine.zone, zone_counts)
-        and machine.index not in job.failed_on
         and (machine.reserved_until <= now or machine.reserved_for == job.spec.id)
-    )
+    ):
+        return Suitability.EXCLUDED
+    # The first condition spares most calls, since this function is called for whole fleets.
+    if (job.failed_on or now - machine.failed_at <= FAILURE_MEMORY_S) and is_avoided(job, machine, now):
+        return Suitability.LAST_RESORT
+    return Suitability.PREFERRED
+
+
+def is_avoided(job: Job, machine: Machine, now: float) -> bool:
+    """Returns whether the machine is the last choice for the job's tasks, because tasks failed there lately.
+
+    For a service, which has no other replica to take over, a failure of any job counts.
+    """
+    failed_lately = now - machine.failed_at <= FAILURE_MEMORY_S
+    return job.failed_on.avoids(machine.index, now) or (failed_lately and job.is_service)
 
 
 def candidates(
     job: Job, machines: Iterable[Machine], zone_counts: dict[int, int], now: float
 ) -> list[Machine]:
     """Returns the machines on which a task of the job may start now, regardless of free capacity."""
-    return [m for m in machines if eligible(job, m, zone_counts, now)]
+    return [m for m in machines if suitability(job, m, zone_counts, now) is not Suitability.EXCLUDED]
 
 
 def score(job: Job, machine: Machine) -> tuple[float, ...]:
@@ -115,13 +139,12 @@
     return (fetch + replicas * spread_s, in_zone, 0.0 if services else 1.0, machine.free_cpus, machine.index)
 
 
-def is_stable(machine: Machine, now: float, max_silence_s: float) -> bool:
-    """Returns whether a replica may be placed on the machine.
+def is_responsive(machine: Machine, now: float, max_silence_s: float) -> bool:
+    """Returns whether the machine has sent a heartbeat within the last `max_silence_s` seconds.
 
-    That needs a heartbeat within the last `max_silence_s` seconds and no task failure within the last
-    `FAILURE_MEMORY_S` seconds.
+    Replicas are placed only on such machines.
     """
-    return now - machine.last_heartbeat_at <= max_silence_s and now - machine.failed_at > FAILURE_MEMORY_S
+    return now - machine.last_heartbeat_at <= max_silence_s
 
 
 def choose_gang(job: Job, machines: Sequence[Machine], count: int) -> list[Machine] | None:
--- a/bayford/scheduling/preemption.py
+++ b/bayford/scheduling/preemption.py
@@ -37,6 +37,7 @@
     machine: int  # index
     victims: list[Victim]
     cost: float  # CPU seconds: the loss of the victims, and the costs that the preemptor adds
+    is_last_resort: bool = False  # tasks failed on the machine lately
 
 
 def may_stop(waiting: Job, running: Job, quotas: list[TeamQuota], unmet_guarantee: bool) -> bool:
--- a/deploy/policy.star
+++ b/deploy/policy.star
@@ -39,7 +39,7 @@
 # standing_quiet = 2.5       # a machine without a heartbeat for this many times report_s gets no replicas
 
 # --- failing tasks
-# job_fault_machines = 3     # a job that failed on this many machines, and runs on no other, is itself considered faulty
+# job_fault_machines = 3     # a job with this many failed runs, which runs nowhere else, is itself considered faulty
 
 # --- responses to heartbeats
 # hold_s = 1.2               # how long the heartbeat of a machine with tasks and free capacity is held open for new work
--- a/tests/test_capacity_index.py
+++ b/tests/test_capacity_index.py
@@ -6,6 +6,7 @@
 from bayford.scheduling import placement_rules
 from bayford.scheduling.capacity_index import CapacityIndex
 from bayford.scheduling.model import Job, JobSpec, Machine
+from bayford.scheduling.placement_rules import Suitability
 
 CPUS = 8.0
 IMAGES = 4
@@ -92,7 +93,7 @@
     capacity_index: CapacityIndex, fleet: list[Machine], job: Job, count: int, with_image_only: bool
 ) -> None:
     def is_eligible(machine: Machine) -> bool:
-        return placement_rules.eligible(job, machine, {}, 0.0)
+        return placement_rules.suitability(job, machine, {}, 0.0) is Suitability.PREFERRED
 
     expected = [m.index for m in full_search(job, fleet, with_image_only)[:count]]
     assert [m.index for m in capacity_index.best(job, count, is_eligible, with_image_only)] == expected
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -10,6 +10,7 @@
 from bayford.protocol.cloud_api import ListedMachine
 from bayford.scheduling import placement_rules, scaling
 from bayford.scheduling.model import Machine
+from bayford.scheduling.placement_rules import Suitability
 from bayford.storage import records
 
 
@@ -398,14 +399,15 @@
     )
     assert [m.name for m in order] == ["has", "free", "busy"]
     with_image.last_heartbeat_at = 100.0
-    assert placement_rules.is_stable(with_image, 101.0, 5.0) and not placement_rules.is_stable(
-        with_image, 106.0, 5.0
-    ), "a machine with a late heartbeat is not stable"
+    assert placement_rules.is_responsive(with_image, 101.0, 5.0)
+    assert not placement_rules.is_responsive(with_image, 106.0, 5.0), "its heartbeat is late"
+    with_image.zone, with_image.type, with_image.token_acknowledged = 0, 0, True
     with_image.failed_at = 95.0
-    assert not placement_rules.is_stable(with_image, 101.0, 5.0), (
-        "a machine with a recent failure is not stable"
+    assert placement_rules.suitability(job, with_image, {}, 101.0) is Suitability.LAST_RESORT, (
+        "a replica goes to a machine with a recent failure only if no other has room"
     )
-    assert placement_rules.is_stable(with_image, 101.0 + placement_rules.FAILURE_MEMORY_S, 500.0), (
+    later = 101.0 + placement_rules.FAILURE_MEMORY_S
+    assert placement_rules.suitability(job, with_image, {}, later) is Suitability.PREFERRED, (
         "a failure is ignored after FAILURE_MEMORY_S"
     )
 
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -13,6 +13,7 @@
 
 from bayford.scheduling import placement_rules, resources, tempered
 from bayford.scheduling.model import Job, Machine, MachineType, Placement
+from bayford.scheduling.placement_rules import Suitability
 from bayford.scheduling.policy import Policy
 from bayford.scheduling.tempered import Host, Item, SearchLimits
 from bayford.spread.machine_snapshot import snapshot_of
@@ -65,7 +66,7 @@
     capacity_index = indexed(fleet)
 
     def may_take(machine: Machine) -> bool:
-        return placement_rules.eligible(job, machine, {}, 0.0)
+        return placement_rules.suitability(job, machine, {}, 0.0) is Suitability.PREFERRED
 
     candidates = capacity_index.least_loaded(job, count, may_take)
     chosen = choose(job, candidates, count, Weights()) if candidates else []
@@ -455,8 +456,8 @@
     scheduler.scheduling.spreader._carry_out(Rebalancing(moves, 1.0, 0.5), known, cluster.clock.now)
     assert list(scheduler.state.uncounted_migrations) == ["req-000001"]
     first, second = scheduler.state.jobs["req-000001"], scheduler.state.jobs["req-000002"]
-    assert placement_rules.eligible(first, target, {}, cluster.clock.now)
-    assert not placement_rules.eligible(second, target, {}, cluster.clock.now)
+    assert placement_rules.suitability(first, target, {}, cluster.clock.now) is Suitability.PREFERRED
+    assert placement_rules.suitability(second, target, {}, cluster.clock.now) is Suitability.EXCLUDED
 
 
 def test_no_team_limit_is_exceeded_with_load_spread() -> None:
