Let a quarantined machine that is kept for its services take work again

A machine on which two jobs failed while replicas ran there stably took no other work for good, and a job waited beside it. Cause: a quarantine ended with the machine's deletion alone, and a machine with stable replicas is not deleted. Evidence: test_a_quarantined_machine_that_services_keep_takes_work_again_... fails on the sources before the fix. Fix: 30 s after its last failure the quarantine ends (quarantine ended: ...); if tasks still fail, it begins again. The job's team and other work are untouched, and the machine's replicas run on.

--- a/bayford/coordination/leader/machine_deletions.py
+++ b/bayford/coordination/leader/machine_deletions.py
@@ -125,8 +125,10 @@
             return "gone from the cloud's list"
         if silent_for_s > limit_s:
             return f"silent for {silent_for_s:.0f} s"
-        if machine.quarantined and not self._health.keeps_services(machine, now):
-            return "quarantined"
+        if machine.quarantined:
+            if not self._health.keeps_services(machine, now):
+                return "quarantined"
+            self._health.end_quarantine_if_due(machine, now)
         if machine.reclaim_at is not None and not machine.open:
             return "to be taken by the cloud, empty"
         return ""
--- a/bayford/coordination/leader/machine_health.py
+++ b/bayford/coordination/leader/machine_health.py
@@ -18,6 +18,7 @@
 MIN_HEALTHY_RUN_S = 5.0  # a task that has run longer than this shows that its machine works
 MIN_FAILURES_TO_QUARANTINE = 2
 MACHINE_BACKOFF_S = 3.0  # pause in placements on a machine after a failed task
+QUARANTINE_S = 30.0  # since the last failure; for a machine that its services keep from being deleted
 
 
 class MachineHealth:
@@ -129,6 +130,15 @@
             placement.job.is_service and runs_stably(placement, now) for placement in machine.open.values()
         )
 
+    def end_quarantine_if_due(self, machine: Machine, now: float) -> None:
+        """Let a quarantined machine that is kept for its services take work again some time after its last
+        failure. If it still fails tasks, it is quarantined again."""
+        if now - machine.failed_at <= QUARANTINE_S:
+            return
+        machine.quarantined = False
+        machine.failures_by_job.clear()
+        log.info("quarantine ended: machine=%s quiet_s=%.0f", machine.name, now - machine.failed_at)
+
 
 def runs_stably(placement: Placement, now: float) -> bool:
     """Return whether the task has run long enough to show that its machine works."""
--- a/tests/test_waiting_after_failures.py
+++ b/tests/test_waiting_after_failures.py
@@ -148,6 +148,23 @@
     assert seconds_until_running(cluster, 2) < 15.0
 
 
+# Guards against a machine that takes nothing for good because it is quarantined and kept for its services.
+def test_a_quarantined_machine_that_services_keep_takes_work_again_some_time_after_its_last_failure() -> None:
+    cluster = cluster_of_ordinary_machines(1)
+    worker = cluster.first_worker()
+    cluster.submit("n0", cluster.service(1, parts=1))
+    run_for(cluster, 10.0)
+    worker.fails_starts = True
+    for number in (2, 3):
+        cluster.submit("n0", cluster.job(number, parts=1, crew="blue", guess_s=LONG_RUN_S))
+    run_for(cluster, 10.0)
+    (machine,) = leader_of(cluster).scheduler.state.machines.values()
+    assert machine.quarantined and worker.name not in cluster.cloud.deleted
+    worker.fails_starts = False
+    seconds_until_running(cluster, 3)
+    assert worker.name not in cluster.cloud.deleted
+
+
 def test_a_faulty_machine_is_not_given_the_same_job_while_others_have_room() -> None:
     cluster = cluster_of_ordinary_machines(3)
     faulty = cluster.first_worker()
