Replace a machine whose worker began anew

Callers saw: nothing was reported; found by the test of late copies. Cause: heartbeats are ordered by epoch and sequence number, and those of the new worker are lower. They were answered, so that its lease went on, and applied to nothing. Fix: a heartbeat of a lower order that was sent after the newest one had arrived shows a new worker; its machine is quarantined and deleted, and the confirmed deletion closes the placements. Taking up the lower order instead would let a late copy from a later epoch close placements of tasks that run. A late copy of a heartbeat gets no commands any more. The fakes can copy heartbeats, direct commands, transactions and requests to the cloud, and bring a machine back at once.

--- a/bayford/coordination/leader/heartbeat_handler.py
+++ b/bayford/coordination/leader/heartbeat_handler.py
@@ -32,11 +32,14 @@
         relay: str = "",
         is_command_response: bool = False,
     ) -> int | None:
-        """Apply a heartbeat and return the index of its machine, or None if it must not be answered.
+        """Apply a heartbeat and return the index of its machine, or None if the response holds no commands.
 
-        It is not answered if this controller is not the leader, the machine is deleted, or the epoch is an
-        earlier one. `sent_after`: lower bound (steady clock) of the sending time: when the previous heartbeat
-        on the connection was answered. Heartbeats may arrive minutes late; nothing else bounds their age.
+        It holds none if this controller is not the leader, the machine is deleted, the epoch is an earlier
+        one, or a newer heartbeat has arrived: a worker has one heartbeat in flight, so it does not wait for
+        the response to a late copy.
+
+        `sent_after`: lower bound (steady clock) of the sending time: when the previous heartbeat on the
+        connection was answered. Heartbeats may arrive minutes late; nothing else bounds their age.
         `relay`: the controller that forwarded it, empty if sent directly. `is_command_response`: it responds
         to a direct command; the answer to an earlier heartbeat may then still be in flight."""
         state = self._state
@@ -45,8 +48,14 @@
                 return None
             now = state.clock()
             machine = state.get_or_add_machine(heartbeat.machine, now)
+            if not is_command_response:
+                if heartbeat.order <= machine.heartbeat_order:
+                    if sent_after > machine.last_heartbeat_at:
+                        self._health.on_worker_began_anew(machine)
+                    return None
+                machine.heartbeat_order = heartbeat.order
             if heartbeat.order <= machine.last_order and machine.registered:
-                # A newer heartbeat (e.g. a command response) came first. Nothing new, but can be answered.
+                # The response to a direct command came first. Nothing new, but the worker waits.
                 return machine.index if heartbeat.epoch == machine.epoch else None
             state.last_heartbeat_received_at = now
             if heartbeat.epoch > machine.epoch:
--- a/bayford/coordination/leader/machine_health.py
+++ b/bayford/coordination/leader/machine_health.py
@@ -86,6 +86,17 @@
             machine.lease_expiries,
         )
 
+    def on_worker_began_anew(self, machine: Machine) -> None:
+        """Quarantine a machine whose worker counts its heartbeats from the beginning again, so that it is
+        replaced.
+
+        Such a worker has lost its tasks, but its heartbeats can't be told from late copies of those of the
+        worker before. The placements stay open until the machine's deletion is confirmed.
+        """
+        if not machine.lost:
+            machine.quarantined = machine.lost = True
+            log.error("worker began anew: machine=%s tasks=%d", machine.name, len(machine.open))
+
     def on_task_failed(self, machine: Machine, job: Job, runs_elsewhere: bool, now: float) -> None:
         """Handle a task failure that is not the job's fault.
 
--- a/bayford/scheduling/model.py
+++ b/bayford/scheduling/model.py
@@ -242,6 +242,8 @@
     address: str = ""  # address of its worker, for direct commands
     epoch: int = 0  # current epoch of its worker
     sequence: int = -1  # sequence number of the last heartbeat in this epoch
+    # Epoch and sequence number of the newest heartbeat that is no response to a direct command.
+    heartbeat_order: tuple[int, int] = (0, -1)
     last_heartbeat_at: float = 0.0  # before the first heartbeat: when this controller learned of it
     registered: bool = False  # this controller has received a heartbeat of it
     token_acknowledged: bool = False  # a heartbeat has carried this term's fencing token, so it is answered
--- a/tests/fakes/cloud.py
+++ b/tests/fakes/cloud.py
@@ -33,6 +33,8 @@
         self.late_deletes: list[list[str]] = []
         self.deleted: list[str] = []
         self.list_calls = 0
+        # Called with a repetition of each launch and deletion that a controller requests.
+        self.on_request: Callable[[Callable[[], object]], None] | None = None
 
     def catalog(self) -> list[MachineType]:
         return [SMALL_TYPE, GPU_TYPE]
@@ -40,11 +42,20 @@
     def launch(self, request: str, kind: str, zone: str, spot: bool, count: int) -> list[str]:
         if self.down:
             raise CloudBusyError("503")
+        if self.on_request is not None:
+            self.on_request(lambda: self.execute_launch(request, kind, zone, spot, count))
+        names = self.execute_launch(request, kind, zone, spot, count)
+        if not names:
+            raise NoCapacityError
+        return names
+
+    def execute_launch(self, request: str, kind: str, zone: str, spot: bool, count: int) -> list[str]:
+        """Launch machines, or return those of an earlier request of this name; none without capacity."""
         if request in self.requests:
             return self.requests[request]
         count = min(count, self.capacity)
         if count <= 0:
-            raise NoCapacityError
+            return []
         self.capacity -= count
         names = [self.start_machine(kind, zone, spot).name for _ in range(count)]
         self.requests[request] = names
@@ -64,6 +75,8 @@
         if self.deletes_lost:
             self.late_deletes.append(names)
             raise CloudBusyError("no answer")
+        if self.on_request is not None:
+            self.on_request(lambda: self.execute_delete(names))
         self.execute_delete(names)
 
     def execute_delete(self, names: list[str]) -> None:
--- a/tests/fakes/cluster.py
+++ b/tests/fakes/cluster.py
@@ -24,6 +24,7 @@
 from fakes.clock import Clock
 from fakes.cloud import FakeCloud
 from fakes.key_value_store import FakeKeyValueStore, StoreConnection
+from fakes.late_copies import LateCopies
 from fakes.worker import FakeWorker, InFlightResponse, encoded_copy
 
 SETTINGS = """
@@ -121,6 +122,7 @@
         self.paused: set[str] = set()  # controllers whose processes are suspended; the clock continues
         self.mesh_cuts: set[str] = set()  # controllers without a connection to any other controller
         self.sent_heartbeats: list[workers.Heartbeat] = []  # the most recent ones, for `replay`
+        self.late_copies: LateCopies | None = None  # delivers copies of messages, if a test sets it
         self.nodes: dict[str, Controller] = {}
         self.names = [f"n{n}" for n in range(nodes)]
         for name in self.names:
@@ -226,6 +228,8 @@
         end = self.clock.now + seconds
         while self.clock.now < end:
             self.clock.now = min(end, self.clock.now + 0.5)
+            if self.late_copies is not None:
+                self.late_copies.deliver_due()
             for name, node in self.nodes.items():
                 if name not in self.paused:
                     node.stall_detector.resumed_at()
@@ -311,6 +315,8 @@
             return 413
         heartbeat = workers.parse_heartbeat(body)
         self.sent_heartbeats = [*self.sent_heartbeats[-200:], heartbeat]
+        if self.late_copies is not None:
+            self.late_copies.add_heartbeat(heartbeat)
         reply = self.nodes[node].heartbeat(encoded_copy(heartbeat), after)
         assert len(reply.body) <= MAX_MESSAGE_BYTES, f"a response to a worker of {len(reply.body)} bytes"
         if worker.name not in self.workers or worker.unresponsive:
@@ -348,11 +354,9 @@
         if worker is None or worker.unresponsive or worker.hung or (worker.name, node) in self.network_cuts:
             return None
         assert len(body) <= MAX_MESSAGE_BYTES, f"a direct command of {len(body)} bytes"
-        request = orjson.loads(body)
-        if request["baton"] >= worker.fencing_token and request["shift"] == worker.epoch:
-            worker.fencing_token = request["baton"]
-            for command in request["orders"]:
-                worker.execute(command)
+        worker.execute_direct(orjson.loads(body))
+        if self.late_copies is not None:
+            self.late_copies.add_command(worker.name, body)
         return worker.encoded_heartbeat()
 
     def replay(self, heartbeat: workers.Heartbeat, node: str) -> None:
--- a/tests/fakes/key_value_store.py
+++ b/tests/fakes/key_value_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import bisect
+from collections.abc import Callable
 from typing import Any
 
 import orjson
@@ -55,6 +56,8 @@
         self.available_writes = 0.0
         self.writes_refilled_at = 0.0
         self.rate_limited_count = 0  # transactions refused because of the rate
+        # Called with the conditions and writes of each transaction that a controller sends.
+        self.on_write: Callable[[dict[str, int], list[Put]], None] | None = None
 
     def process_due(self) -> None:
         """Execute delayed writes that are due and delete the rows of expired leases."""
@@ -161,6 +164,8 @@
             at = self.store.clock.now + self.store.write_delay_s[self.controller]
             self.store.late_writes.append((at, dict(conditions), list(puts)))
             raise OutcomeUnknownError("no answer")
+        if puts and self.store.on_write is not None:
+            self.store.on_write(dict(conditions), list(puts))
         outcome = self.store.execute(conditions, puts)
         if puts and self.controller in self.store.loses_next_response_to | self.store.loses_responses_to:
             self.store.loses_next_response_to.discard(self.controller)
--- a/tests/fakes/worker.py
+++ b/tests/fakes/worker.py
@@ -72,6 +72,7 @@
     encode: Encode = msgspec.json.encode  # how it writes its heartbeats
     longest_report: int = 0  # bytes of its longest heartbeat so far
     refused_reports: int = 0  # heartbeats over the size limit
+    started_attempts: set[tuple[str, int]] = field(default_factory=set)  # all since the worker began
 
     def encoded_heartbeat(self) -> bytes:
         """The next heartbeat as the body of a request or response."""
@@ -106,9 +107,7 @@
 
     def check_lease(self) -> None:
         if not self.hung and self.cluster.clock.now - self.last_answered_at > self.cluster.lease_s:
-            self.tasks.clear()
-            self.epoch += 1
-            self.last_answered_at = self.cluster.clock.now
+            self.begin_next_epoch()
 
     def receive(self, reply: Reply, sent_at: float, epoch: int, node: str = "") -> int:
         """Process a response as PROTOCOL specifies; returns its HTTP status, 0 if it is stale."""
@@ -124,6 +123,28 @@
             self.execute(command)
         return 200
 
+    def execute_direct(self, request: dict[str, Any]) -> None:
+        """Execute a direct command, unless its token or its session is outdated."""
+        if request["baton"] >= self.fencing_token and request["shift"] == self.epoch:
+            self.fencing_token = request["baton"]
+            for command in request["orders"]:
+                self.execute(command)
+
+    def begin_anew(self) -> None:
+        """Come back as a worker that knows nothing, in its first epoch."""
+        self.tasks.clear()
+        self.started_attempts.clear()
+        self.epoch, self.sequence, self.fencing_token = 1, 0, 0
+        self.last_response_at.clear()
+        self.last_answered_at = self.cluster.clock.now
+        self.response_in_flight = None
+
+    def begin_next_epoch(self) -> None:
+        """Kill and forget all tasks, as when the lease has expired."""
+        self.tasks.clear()
+        self.epoch += 1
+        self.last_answered_at = self.cluster.clock.now
+
     def execute(self, command: dict[str, Any]) -> None:
         key = (command["part"], command["try"])
         existing = self.tasks.get(key)
@@ -151,6 +172,8 @@
             elif self.fails_starts:
                 attempt.phase, attempt.reason = "ended", self.failure_reason
             else:
+                assert key not in self.started_attempts, f"{key} started again on {self.name}"
+                self.started_attempts.add(key)
                 self.cluster.on_task_started(self, job_id, number)
         elif command["verb"] == "halt":
             if existing is not None and existing.phase != "ended":
