Send starts only on connections on which the controller has answered before

Callers saw: nothing. Cause: a new leader or a relay that is just back can't tell a late copy from a heartbeat whose sender waits. Evidence: test_the_response_to_a_copy_of_a_heartbeat_holds_no_start fails on the sources before, for the same and for a new leader. That such a start can run a task was not found: nobody reads the response to a copy. Fix: a response holds a start only if the heartbeat came on a connection on which this controller has answered before. A copy comes on a connection of its own. The first heartbeat on a new connection gets no start, the next one does.

--- a/bayford/coordination/workers/heartbeat_service.py
+++ b/bayford/coordination/workers/heartbeat_service.py
@@ -3,6 +3,7 @@
 import threading
 from collections.abc import Callable
 
+from bayford.clock import NEVER
 from bayford.coordination.api.responses import Reply
 from bayford.coordination.leader.leader_events import LeaderListener
 from bayford.coordination.leader.scheduler import Scheduler
@@ -27,6 +28,15 @@
 MAX_FIRST_SEQUENCE = 2  # highest sequence number that the first heartbeats of a worker may have
 
 
+def may_start(sent_after: float) -> bool:
+    """Returns whether the response to a heartbeat may contain starts.
+
+    The heartbeat must have come on a connection on which this controller has answered before. A late copy
+    comes on a connection of its own, to which no worker listens, so that no copy ever brings forth a start.
+    """
+    return sent_after > NEVER
+
+
 class HeartbeatService(LeaderListener):
     """Answers heartbeats. Called concurrently by the threads that serve the workers' connections."""
 
@@ -108,7 +118,7 @@
         redirect_to = self._redirect_target(heartbeat, record)
         if redirect_to is not None:
             return Reply(421, workers.encode_redirect(redirect_to))
-        return self._answer_as_relay(heartbeat)
+        return self._answer_as_relay(heartbeat, sent_after)
 
     def _knows_newest_leader(self, heartbeat: workers.Heartbeat) -> bool:
         """Returns whether this controller knows the worker's fencing token or a higher one.
@@ -161,7 +171,7 @@
         self._signals.round.set()
         if scheduler.has_pending_writes():
             self._signals.commit.set()
-        commands = self._await_commands(index, event, arrived_at, may_hold)
+        commands = self._await_commands(index, event, arrived_at, may_hold, may_start(sent_after))
         if (
             self._membership.record.version != record.version
             or scheduler.term != record.version
@@ -180,7 +190,7 @@
         return scheduler.complete and scheduler.term == record.version
 
     def _await_commands(
-        self, index: int, event: threading.Event, arrived_at: float, may_hold: bool
+        self, index: int, event: threading.Event, arrived_at: float, may_hold: bool, may_start: bool
     ) -> list[workers.Command]:
         """Returns the commands for a machine as soon as there are any, or without any after the hold time.
 
@@ -189,7 +199,7 @@
         hold_s = self._scheduler.hold_s(index) if may_hold else 0.0
         while True:
             event.clear()
-            commands, read_needed = self._scheduler.commands_for(index, arrived_at)
+            commands, read_needed = self._scheduler.commands_for(index, arrived_at, may_start)
             waited_s = self._clock() - arrived_at
             if read_needed:
                 if waited_s >= VERIFICATION_WAIT_S + hold_s:
@@ -202,13 +212,14 @@
             else:
                 self._pause(event, hold_s - waited_s)
 
-    def _answer_as_relay(self, heartbeat: workers.Heartbeat) -> Reply:
+    def _answer_as_relay(self, heartbeat: workers.Heartbeat, sent_after: float) -> Reply:
         self._relay.store_heartbeat(heartbeat)
         is_refreshed = self._watch_cache.refresh(RELAY_READ_TIMEOUT_S)
         # The token is read before the commands, so that they are never sent with the token of a later leader.
         fencing_token = self._membership.record.fencing_token
         if is_refreshed:
-            return Reply(200, workers.encode_response(fencing_token, self._relay.commands(heartbeat)))
+            commands = self._relay.commands(heartbeat, may_start(sent_after))
+            return Reply(200, workers.encode_response(fencing_token, commands))
         # The key-value store is unavailable or refuses this controller. If the fencing token known here is
         # outdated, a worker that has seen a higher one drops this response. A stale view is not sufficient to
         # start tasks. It is sufficient to stop cancelled ones, because a cancellation is final.
--- a/standins/history.py
+++ b/standins/history.py
@@ -22,6 +22,14 @@
     return violations
 
 
+def attempts_run_again(history: Iterable[AttemptEvent]) -> list[tuple[str, int, str]]:
+    """Return task, number and machine of each attempt that started running more than once."""
+    running = Counter(
+        (event.task_id, event.number, event.machine) for event in history if event.kind == "running"
+    )
+    return [attempt for attempt, count in running.items() if count > 1]
+
+
 def tasks_not_completed_once(history: Iterable[AttemptEvent], task_ids: Iterable[str]) -> list[str]:
     """Return the tasks of `task_ids` that did not complete exactly once."""
     done = Counter(event.task_id for event in history if event.kind == "done")
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -8,6 +8,8 @@
 from typing import Any
 
 from standins.http_service import HttpService, Request, Response
+from standins.late_copies import LateCopies
+from standins.message_sizes import MessageSizes
 
 HEARTBEAT_TIMEOUT_S = 4.0
 POLL_INTERVAL_S = 0.05
@@ -52,22 +54,6 @@
     reclaim_notice_s: float | None = None  # heartbeats announce a reclaim of the machine in this time
 
 
-@dataclass
-class MessageSizes:
-    """Sizes of the messages between one worker and the controllers so far, in bytes."""
-
-    longest_report: int = 0
-    longest_response_line: int = 0
-    refused_reports: int = 0  # number of heartbeats that were answered 413
-
-    def record(self, report: bytes, status: int, response: bytes) -> None:
-        """Record a heartbeat and the response to it."""
-        self.longest_report = max(self.longest_report, len(report))
-        lines = response.split(b"\n")
-        self.longest_response_line = max(self.longest_response_line, *map(len, lines))
-        self.refused_reports += status == 413
-
-
 @dataclass
 class Attempt:
     """A task attempt on a worker."""
@@ -109,6 +95,7 @@
         self.workers: dict[str, Worker] = {}
         self.history: list[AttemptEvent] = []
         self.fetches: list[tuple[str, str]] = []  # (machine name, image)
+        self.late_copies: LateCopies | None = None  # sends copies of messages, if a test sets it
         self._launch_count = 0
 
     def launch(self, kind: MachineKind, zone: str, spot: bool, images: tuple[str, ...] = ()) -> "Worker":
@@ -192,6 +179,24 @@
         """Answer direct commands with 503 if `refuse`, else accept them again."""
         self._service.controls.is_down = refuse
 
+    def begin_next_epoch(self) -> None:
+        """Kill and forget all tasks, as when the lease has expired."""
+        with self._lock:
+            self._drop_all_tasks()
+            self.epoch += 1
+            self._lease_renewed_at = time.monotonic()
+            self._has_unreported_changes = True
+
+    def begin_anew(self) -> None:
+        """Come back as a worker that knows nothing, in its first epoch."""
+        with self._lock:
+            self._drop_all_tasks()
+            self.epoch, self.sequence, self.fencing_token = 1, 0, 0
+            self._lease_renewed_at = time.monotonic()
+            self._has_unreported_changes = True
+            if self._connection is not None:
+                self._connection[1].close()
+
     def age_s(self) -> float:
         """Return the seconds since the launch."""
         return time.monotonic() - self._launched_at
@@ -222,10 +227,7 @@
     def _advance_tasks(self) -> None:
         now = time.monotonic()
         if now - self._lease_renewed_at > self.fleet.lease_s:
-            self._drop_all_tasks()
-            self.epoch += 1
-            self._lease_renewed_at = now
-            self._has_unreported_changes = True
+            self.begin_next_epoch()
         for attempt in self.tasks.values():
             if attempt.phase == "pulling":
                 self._fetch_image(attempt, now)
@@ -308,13 +310,20 @@
         }
 
     def _handle(self, request: Request) -> Response:
+        if request.path != "/commands" or self.controls.is_hung:
+            with self._lock:
+                return Response(200, self._heartbeat())
+        if self.fleet.late_copies is not None:
+            self.fleet.late_copies.add_command(lambda: self._execute_direct(request.body))
+        return self._execute_direct(request.body)
+
+    def _execute_direct(self, body: dict[str, Any]) -> Response:
         with self._lock:
-            if request.path == "/commands" and not self.controls.is_hung:
-                if request.body["baton"] < self.fencing_token or request.body["shift"] != self.epoch:
-                    return Response(409, self._heartbeat())
-                self.fencing_token = request.body["baton"]
-                for command in request.body["orders"]:
-                    self._execute(command)
+            if body["baton"] < self.fencing_token or body["shift"] != self.epoch:
+                return Response(409, self._heartbeat())
+            self.fencing_token = body["baton"]
+            for command in body["orders"]:
+                self._execute(command)
             return Response(200, self._heartbeat())
 
     def _send_heartbeat(self) -> None:
@@ -328,6 +337,8 @@
         status, response = 0, b""
         if not self.controls.is_partitioned and controller not in self.controls.unreachable_controllers:
             report = json.dumps(body).encode()
+            if self.fleet.late_copies is not None:
+                self.fleet.late_copies.add_heartbeat(report)
             status, response = self._post(controller, report)
             self.message_sizes.record(report, status, response)
         if status and self.controls.responses_to_drop > 0:
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -9,13 +9,14 @@
 from typing import Any
 
 import pytest
-from cluster_helpers import clear_faults, kill_controller, recover_and_check
+from cluster_helpers import clear_faults, kill_controller, leader_of, recover_and_check
 from fakes.cluster import Cluster
 from fakes.late_copies import LateCopies
 from fakes.scenarios import run_for, running_tasks, started_cluster
 from fakes.worker import FakeWorker
 from test_random_concurrent_faults import EAGER_MIGRATION
 
+from bayford.clock import NEVER
 from bayford.scheduling.policy import Policy
 
 RETURNS_S = (0.0, 0.2, 0.9)  # how long a process or machine is away
@@ -118,6 +119,7 @@
     recover_and_check(busy.cluster, 200.0)
     copies = busy.copies
     assert min(copies.heartbeats, copies.commands, copies.writes) > 0
+    assert copies.starts == [], "no worker waits for the response to a copy"
 
 
 def started_worker() -> tuple[Cluster, FakeWorker]:
@@ -147,3 +149,25 @@
         run_for(cluster, 1.0)
     assert running_tasks(cluster) == expected
     assert cluster.cloud.deleted == [worker.name]
+
+
+# Guards against starts in the response to a copy of a heartbeat, one for each time that it came.
+@pytest.mark.parametrize("is_new_leader", [False, True], ids=["same leader", "new leader"])
+def test_the_response_to_a_copy_of_a_heartbeat_holds_no_start(is_new_leader: bool) -> None:
+    cluster, worker = started_worker()
+    old = [heartbeat for heartbeat in cluster.sent_heartbeats if heartbeat.machine == worker.name]
+    worker.cannot_send = True
+    cluster.submit("n0", cluster.job(2, parts=1))
+    run_for(cluster, 1.5)
+    if is_new_leader:
+        kill_controller(cluster, cluster.require_leader())
+        run_for(cluster, 10.0, heartbeats=False, cloud=False)
+    assert any(
+        placement.durable for placement in leader_of(cluster).scheduler.state.jobs["req-000002"].open.values()
+    )
+    for heartbeat in old[-10:]:
+        reply = leader_of(cluster).heartbeat(heartbeat, NEVER)
+        assert reply.status == 200 and b'"start"' not in reply.body
+    worker.cannot_send = False
+    run_for(cluster, 4.0)
+    assert "req-000002/0" in running_tasks(cluster), "the worker itself gets the start"
