--- a/bayford/coordination/leader/migration_rules.py
+++ b/bayford/coordination/leader/migration_rules.py
@@ -32,20 +32,15 @@
         job_id, task = job_and_task(key)
         job, machine = state.jobs[job_id], state.machines[target]
         return (
-            machine.zone not in state.closed_zones | state.returning_zones
+            machine.zone is not None
+            and machine.zone not in state.closed_zones | state.returning_zones
             and self._migrator.allows(job, task)
+            and not placement_rules.is_avoided(job, machine, self._now)
+            and placement_rules.type_allowed(job, machine)
             and (not job.is_service or self._can_move_replica(job, machine))
-            and self._is_preferred(job, task, machine)
+            and placement_rules.zone_allowed(job, machine.zone, self._zone_counts_without(job, task))
         )
 
-    def _is_preferred(self, job: Job, task: int, machine: Machine) -> bool:
-        """Return whether the machine is as good as any for the task: a task that runs is not moved to a
-        machine that is a last resort."""
-        by_zone = job.spec.one_zone or job.spec.spread
-        zone_counts = self._zone_counts_without(job, task) if by_zone else {}
-        suitability = placement_rules.suitability(job, machine, zone_counts, self._now)
-        return suitability is placement_rules.Suitability.PREFERRED
-
     def _zone_counts_without(self, job: Job, task: int) -> dict[int, int]:
         """Return the number of the job's open placements by zone, without the placement of this task."""
         zone_of = self._state.zone_of
--- a/bayford/coordination/leader/preemptor.py
+++ b/bayford/coordination/leader/preemptor.py
@@ -179,6 +179,7 @@
         zone_counts = placement_rules.placements_by_zone(waiting, state.zone_of)
         max_silence_s = state.max_heartbeat_age_s
         skip_ending = waiting.spec.priority < URGENT  # non-urgent work does not stop tasks that end soon
+        may_avoid = waiting.is_service or bool(waiting.failed_on)
         options: list[preemption.PreemptionOption] = []
         candidates = placement_rules.candidates(waiting, search.machines, zone_counts, now)
         for machine in self._search_window(candidates):
@@ -198,7 +199,7 @@
             option = preemption.choose_victims(machine, waiting, victims, MAX_STOPS_PER_MACHINE)
             if option is not None:
                 option.cost = self._placement_cost(machine, waiting, option.cost)
-                option.is_last_resort = placement_rules.is_avoided(waiting, machine, now)
+                option.is_last_resort = may_avoid and placement_rules.is_avoided(waiting, machine, now)
                 options.append(option)
         options.sort(key=lambda option: (option.is_last_resort, option.cost, option.machine))
         return options
--- a/bayford/coordination/leader/task_placer.py
+++ b/bayford/coordination/leader/task_placer.py
@@ -1,6 +1,5 @@
 """Places a job's waiting tasks on machines under the rules of `scheduling.placement_rules`."""
 
-import functools
 import logging
 from collections.abc import Callable
 from typing import NamedTuple
@@ -11,7 +10,7 @@
 from bayford.recovery import return_order
 from bayford.scheduling import placement_rules
 from bayford.scheduling.model import GANG, URGENT, Job, Machine
-from bayford.scheduling.placement_rules import Suitability
+from bayford.scheduling.placement_rules import EXCLUDED, LAST_RESORT, PREFERRED, Suitability
 from bayford.spread.score import Choice
 
 log = logging.getLogger(__name__)
@@ -21,11 +20,14 @@
 MachineFilter = Callable[[Machine], bool]
 
 
-class MachineFilters(NamedTuple):
-    """Which machines the tasks of a job may use now, regardless of free capacity."""
+MachineSuitability = Callable[[Machine], Suitability]
 
-    is_preferred: MachineFilter
-    is_last_resort: MachineFilter  # if no preferred machine has room
+
+class Candidates(NamedTuple):
+    """The machines that the tasks of a job may use now."""
+
+    preferred: list[Machine]
+    last_resorts: list[Machine]  # for when no preferred machine has room
 
 
 class TaskPlacer:
@@ -57,43 +59,43 @@
             and job.has_spot_machines
         )
 
-        def is_allowed(wanted: Suitability, machine: Machine) -> bool:
-            return (
-                placement_rules.suitability(job, machine, zone_counts, now) is wanted
-                and (not spot_only or machine.spot or machine.index in self._state.service_machines)
-                and self._is_zone_allowed(job, machine, returning)
-            )
+        def suitability(machine: Machine) -> Suitability:
+            found = placement_rules.suitability(job, machine, zone_counts, now)
+            if found is EXCLUDED or self._is_offered(job, machine, spot_only, returning):
+                return found
+            return EXCLUDED
 
-        allowed = MachineFilters(
-            functools.partial(is_allowed, Suitability.PREFERRED),
-            functools.partial(is_allowed, Suitability.LAST_RESORT),
-        )
         if job.spec.shape != GANG and not job.is_service and not by_zone:
-            self._place_array(job, count, allowed, with_image_only, now)
+            self._place_array(job, count, suitability, with_image_only, now)
             return
-        preferred = self._machines_with_room(job, allowed.is_preferred, with_image_only)
-        last_resorts = (
-            [] if with_image_only else self._machines_with_room(job, allowed.is_last_resort, with_image_only)
-        )
+        machines = self._find_candidates(job, suitability, with_image_only)
         if job.spec.shape == GANG:
-            self._place_gang(job, preferred, last_resorts, now)
+            self._place_gang(job, machines, now)
         elif job.is_service:
-            self._place_service(job, count, preferred + last_resorts, now)
+            self._place_service(job, count, machines, now)
         else:
-            self._place_by_zone(job, count, preferred, last_resorts, now)
+            self._place_by_zone(job, count, machines, now)
 
-    def _machines_with_room(
-        self, job: Job, is_allowed: MachineFilter, with_image_only: bool
-    ) -> list[Machine]:
-        """Return the allowed machines that have free capacity, though maybe not enough for a task."""
-        return [
-            machine
-            for machine in self._state.capacity_index.machines.values()
-            if (not with_image_only or job.image in machine.images) and is_allowed(machine)
-        ]
+    def _find_candidates(
+        self, job: Job, suitability: MachineSuitability, with_image_only: bool
+    ) -> Candidates:
+        """Return the machines that the job may use and that have free capacity, though maybe not enough for
+        a task."""
+        candidates = Candidates([], [])
+        for machine in self._state.capacity_index.machines.values():
+            if with_image_only and job.image not in machine.images:
+                continue
+            found = suitability(machine)
+            if found is PREFERRED:
+                candidates.preferred.append(machine)
+            elif found is LAST_RESORT and not with_image_only:
+                candidates.last_resorts.append(machine)
+        return candidates
 
-    def _is_zone_allowed(self, job: Job, machine: Machine, returning: bool) -> bool:
-        """Return whether the state of the machine's zone allows a task of the job on the machine."""
+    def _is_offered(self, job: Job, machine: Machine, spot_only: bool, returning: bool) -> bool:
+        """Return whether the machine's kind and the state of its zone allow a task of the job there."""
+        if spot_only and not machine.spot and machine.index not in self._state.service_machines:
+            return False
         if machine.zone in self._state.closed_zones:
             return False
         if (machine.zone in self._state.returning_zones) != returning:
@@ -103,7 +105,7 @@
         )
 
     def _place_array(
-        self, job: Job, count: int, allowed: MachineFilters, with_image_only: bool, now: float
+        self, job: Job, count: int, suitability: MachineSuitability, with_image_only: bool, now: float
     ) -> None:
         """Place tasks of an array that has no zone rules. Without load spread, at most `count` preferred
         machines are considered, since no more than one machine per task is needed."""
@@ -111,16 +113,20 @@
         count = min(count, len(job.waiting), quota.headroom(job.spec))
         if count <= 0:
             return
-        last_resorts = [] if with_image_only else self._last_resorts(job, allowed.is_last_resort)
+
+        def is_preferred(machine: Machine) -> bool:
+            return suitability(machine) is PREFERRED
+
+        last_resorts = [] if with_image_only else self._last_resorts(job, suitability)
         if self._state.policy.spread:
-            self._place_by_cost(job, count, allowed.is_preferred, last_resorts, now)
+            self._place_by_cost(job, count, is_preferred, last_resorts, now)
             return
-        machines = self._state.capacity_index.best(job, count, allowed.is_preferred, with_image_only)
+        machines = self._state.capacity_index.best(job, count, is_preferred, with_image_only)
         machines += last_resorts
         starved = self._queue.is_starved(job, now)
         placed = 0
         while placed < count:
-            machine = self._take_hinted_machine(job, allowed.is_preferred) or placement_rules.first_with_room(
+            machine = self._take_hinted_machine(job, is_preferred) or placement_rules.first_with_room(
                 job, machines
             )
             if machine is None:
@@ -131,11 +137,12 @@
         if placed:
             log.debug("placed: job=%s tasks=%d waiting=%d", job.spec.id, placed, len(job.waiting))
 
-    def _last_resorts(self, job: Job, is_last_resort: MachineFilter) -> list[Machine]:
+    def _last_resorts(self, job: Job, suitability: MachineSuitability) -> list[Machine]:
         """Return the machines with room on which tasks of this array failed lately, the best first."""
         with_room = self._state.capacity_index.machines
         failed_on = [with_room[index] for index in job.failed_on if index in with_room]
-        return placement_rules.ranked(job, [machine for machine in failed_on if is_last_resort(machine)])
+        last_resorts = [machine for machine in failed_on if suitability(machine) is LAST_RESORT]
+        return placement_rules.ranked(job, last_resorts)
 
     def _place_by_cost(
         self, job: Job, count: int, can_take: MachineFilter, last_resorts: list[Machine], now: float
@@ -171,12 +178,11 @@
         machine = None if hint is None else self._state.machines.get(hint)
         return machine if machine is not None and machine.has_room(job) and can_take(machine) else None
 
-    def _place_by_zone(
-        self, job: Job, count: int, preferred: list[Machine], last_resorts: list[Machine], now: float
-    ) -> None:
+    def _place_by_zone(self, job: Job, count: int, candidates: Candidates, now: float) -> None:
         """Place tasks of an array that is restricted to one zone or spread over zones. Each placement changes
         which zones are allowed for the next one."""
-        machines = placement_rules.ranked(job, preferred) + placement_rules.ranked(job, last_resorts)
+        machines = placement_rules.ranked(job, candidates.preferred)
+        machines += placement_rules.ranked(job, candidates.last_resorts)
         quota = self._state.quotas[job.team]
         starved = self._queue.is_starved(job, now)
         while job.waiting and count > 0 and quota.allows(job.spec):
@@ -191,11 +197,15 @@
             self._assign(job, job.waiting.pop(), machine, now, starved)
             count -= 1
 
-    def _place_service(self, job: Job, count: int, machines: list[Machine], now: float) -> None:
+    def _place_service(self, job: Job, count: int, candidates: Candidates, now: float) -> None:
         """Place replicas of a service one by one, because each placement changes which machine is best for
         the next."""
         max_silence_s = self._state.max_heartbeat_age_s
-        machines = [m for m in machines if placement_rules.is_responsive(m, now, max_silence_s)]
+        machines = [
+            m
+            for m in candidates.preferred + candidates.last_resorts
+            if placement_rules.is_responsive(m, now, max_silence_s)
+        ]
         quota = self._state.quotas[job.team]
         while job.waiting and count > 0 and quota.allows(job.spec):
             zone_counts = placement_rules.placements_by_zone(job, self._state.zone_of)
@@ -223,13 +233,12 @@
             self._assign(job, job.waiting.pop(), best, now, unpreemptable=False)
             count -= 1
 
-    def _place_gang(
-        self, job: Job, preferred: list[Machine], last_resorts: list[Machine], now: float
-    ) -> None:
+    def _place_gang(self, job: Job, candidates: Candidates, now: float) -> None:
         """Place all waiting tasks of a gang in one transaction, or none of them."""
-        chosen = placement_rules.choose_gang(job, preferred, len(job.waiting))
-        if chosen is None and last_resorts:
-            chosen = placement_rules.choose_gang(job, preferred + last_resorts, len(job.waiting))
+        chosen = placement_rules.choose_gang(job, candidates.preferred, len(job.waiting))
+        if chosen is None and candidates.last_resorts:
+            machines = candidates.preferred + candidates.last_resorts
+            chosen = placement_rules.choose_gang(job, machines, len(job.waiting))
         if chosen is None:
             job.waiting_reason = "no room for the whole gang"
             return
--- a/bayford/scheduling/failed_machines.py
+++ b/bayford/scheduling/failed_machines.py
@@ -4,7 +4,6 @@
 only if no other machine has room. Pure: points in time are seconds on the steady clock, passed by the caller.
 """
 
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 FIRST_AVOIDANCE_S = 30.0  # how long a machine is avoided after the first failed run; doubles with each
@@ -24,19 +23,13 @@
         return self.failed_at + min(MAX_AVOIDANCE_S, FIRST_AVOIDANCE_S * 2.0 ** (self.runs - 1))
 
 
-class FailedMachines:
-    """The machines on which tasks of one job failed, by index."""
+class FailedMachines(dict[int, FailedRuns]):
+    """The machines on which tasks of one job failed, by index.
 
-    __slots__ = ("_machines",)
+    A dictionary, because it is asked for whole fleets whether it is empty, which it mostly is.
+    """
 
-    def __init__(self) -> None:
-        self._machines: dict[int, FailedRuns] = {}
-
-    def __len__(self) -> int:
-        return len(self._machines)
-
-    def __iter__(self) -> Iterator[int]:
-        return iter(self._machines)
+    __slots__ = ()
 
     def record(self, machine: int, placed_at: float, now: float) -> bool:
         """Record that a task, placed on the machine at `placed_at`, failed there.
@@ -44,27 +37,27 @@
         Returns whether it is a new failed run: the first failure on the machine, or one of a task that was
         placed there after the failure before.
         """
-        entry = self._machines.get(machine)
+        entry = self.get(machine)
         if entry is not None:
             is_new_run = placed_at > entry.failed_at
             entry.runs += is_new_run
             entry.failed_at = now
             return is_new_run
-        if len(self._machines) == MAX_REMEMBERED_MACHINES:
-            del self._machines[min(self._machines, key=lambda index: self._machines[index].failed_at)]
-        self._machines[machine] = FailedRuns(now)
+        if len(self) == MAX_REMEMBERED_MACHINES:
+            del self[min(self, key=lambda index: self[index].failed_at)]
+        self[machine] = FailedRuns(now)
         return True
 
     def forget(self, machine: int) -> None:
         """Forget the failures on a machine on which a task of the job has completed."""
-        self._machines.pop(machine, None)
+        self.pop(machine, None)
 
     def avoids(self, machine: int, now: float) -> bool:
         """Returns whether the machine is the last choice for the job's tasks now."""
-        entry = self._machines.get(machine)
+        entry = self.get(machine)
         return entry is not None and now < entry.avoided_until()
 
     def failed_since(self, machine: int, at: float) -> bool:
         """Returns whether a task of the job failed on the machine at `at` or later."""
-        entry = self._machines.get(machine)
+        entry = self.get(machine)
         return entry is not None and entry.failed_at >= at
--- a/bayford/scheduling/placement_rules.py
+++ b/bayford/scheduling/placement_rules.py
@@ -20,6 +20,10 @@
     EXCLUDED = 2
 
 
+# Looking up a member of an enumeration takes longer than the rest of a comparison with it.
+PREFERRED, LAST_RESORT, EXCLUDED = Suitability
+
+
 def placements_by_zone(job: Job, zone_of: Callable[[int], int | None]) -> dict[int, int]:
     """Returns the number of the job's open placements by zone. Machines of unknown zone are not counted."""
     zone_counts: dict[int, int] = {}
@@ -62,11 +66,11 @@
         and zone_allowed(job, machine.zone, zone_counts)
         and (machine.reserved_until <= now or machine.reserved_for == job.spec.id)
     ):
-        return Suitability.EXCLUDED
+        return EXCLUDED
     # The first condition spares most calls, since this function is called for whole fleets.
     if (job.failed_on or now - machine.failed_at <= FAILURE_MEMORY_S) and is_avoided(job, machine, now):
-        return Suitability.LAST_RESORT
-    return Suitability.PREFERRED
+        return LAST_RESORT
+    return PREFERRED
 
 
 def is_avoided(job: Job, machine: Machine, now: float) -> bool:
@@ -82,7 +86,7 @@
     job: Job, machines: Iterable[Machine], zone_counts: dict[int, int], now: float
 ) -> list[Machine]:
     """Returns the machines on which a task of the job may start now, regardless of free capacity."""
-    return [m for m in machines if suitability(job, m, zone_counts, now) is not Suitability.EXCLUDED]
+    return [m for m in machines if suitability(job, m, zone_counts, now) is not EXCLUDED]
 
 
 def score(job: Job, machine: Machine) -> tuple[float, ...]:
