Send starts also where each connection is closed after one response

Callers would have seen: with more machines than connections (843 for 1,124 sockets and more; 4,000 machines) no task starts. Evidence: test_a_machine_whose_connection_is_closed_after_each_response_gets_starts fails without the fix for the leader and for a relay. Fix: where the connection isn't kept, the order of the machine's heartbeats alone keeps copies out.

--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -365,9 +365,11 @@
 
     # -- workers ---------------------------------------------------------------------------------------
 
-    def heartbeat(self, heartbeat: workers.Heartbeat, sent_after: float, may_hold: bool = True) -> Reply:
+    def heartbeat(
+        self, heartbeat: workers.Heartbeat, sent_after: float, keeps_connection: bool = True
+    ) -> Reply:
         """Answer a worker's heartbeat; see `HeartbeatService.answer`."""
-        return self.heartbeats.answer(heartbeat, sent_after, may_hold)
+        return self.heartbeats.answer(heartbeat, sent_after, keeps_connection)
 
     # -- users -----------------------------------------------------------------------------------------
 
--- a/bayford/coordination/leader/scheduler.py
+++ b/bayford/coordination/leader/scheduler.py
@@ -198,9 +198,9 @@
         relay."""
         return self.heartbeats.worker_contact(since)
 
-    def commands_for(self, index: int, arrival: float, may_start: bool = True) -> PendingCommands:
+    def commands_for(self, index: int, arrival: float, with_starts: bool = True) -> PendingCommands:
         """Return the commands for the response to the machine's heartbeat that arrived at `arrival`."""
-        return self.commands.commands_for(index, arrival, may_start)
+        return self.commands.commands_for(index, arrival, with_starts)
 
     def take_stop_commands(self, index: int, cancelled_alone: bool = False) -> DirectCommands | None:
         """Return the next stop commands to send directly to the machine, or None if there are none."""
--- a/bayford/coordination/leader/worker_commands.py
+++ b/bayford/coordination/leader/worker_commands.py
@@ -34,10 +34,10 @@
     def __init__(self, state: LeaderState) -> None:
         self._state = state
 
-    def commands_for(self, index: int, arrival: float, may_start: bool = True) -> PendingCommands:
+    def commands_for(self, index: int, arrival: float, with_starts: bool = True) -> PendingCommands:
         """Return the commands that answer the machine's heartbeat received at `arrival` (steady clock).
 
-        `may_start`: whether starts may be among them.
+        `with_starts`: whether starts may be among them.
         """
         with self._state.lock:
             machine = self._state.machines.get(index)
@@ -45,7 +45,7 @@
                 return PendingCommands([], False)
             phases = self._state.reported_phases[index]
             stops_and_reaps = self._list_stops_and_reaps(machine, phases)
-            starts, gated = self._list_starts(machine, phases, arrival) if may_start else ([], False)
+            starts, gated = self._list_starts(machine, phases, arrival) if with_starts else ([], False)
             if not stops_and_reaps and not starts:
                 return PendingCommands([], gated)
             commands, deferred = message_sizes.bounded_commands(stops_and_reaps, starts, phases)
--- a/bayford/coordination/workers/heartbeat_service.py
+++ b/bayford/coordination/workers/heartbeat_service.py
@@ -28,13 +28,15 @@
 MAX_FIRST_SEQUENCE = 2  # highest sequence number that the first heartbeats of a worker may have
 
 
-def may_start(sent_after: float) -> bool:
+def may_start(sent_after: float, keeps_connection: bool) -> bool:
     """Returns whether the response to a heartbeat may contain starts.
 
     The heartbeat must have come on a connection on which this controller has answered before. A late copy
     comes on a connection of its own, to which no worker listens, so that no copy ever brings forth a start.
+    A controller that closes each connection after one response can't tell; there, only the order of the
+    machine's heartbeats keeps copies out. A start in the response to a copy is executed by nobody.
     """
-    return sent_after > NEVER
+    return sent_after > NEVER or not keeps_connection
 
 
 class HeartbeatService(LeaderListener):
@@ -95,12 +97,12 @@
 
     # -- heartbeats ------------------------------------------------------------------------------------
 
-    def answer(self, heartbeat: workers.Heartbeat, sent_after: float, may_hold: bool = True) -> Reply:
+    def answer(self, heartbeat: workers.Heartbeat, sent_after: float, keeps_connection: bool = True) -> Reply:
         """Answer a worker's heartbeat.
 
-        `sent_after`: time of the steady clock at or after which the worker certainly sent it. `may_hold`:
-        whether the response may be held back until there are commands to put into it, for the time that the
-        policy allows.
+        `sent_after`: time of the steady clock at or after which the worker certainly sent it.
+        `keeps_connection`: whether the connection stays open after the response. If it does, the response may
+        be held back until there are commands to put into it, for the time that the policy allows.
         """
         arrived_at = self._clock()
         if self._connectivity.is_isolated():
@@ -112,13 +114,13 @@
             return Reply(503, jobs.encode_error("a newer leadership record exists"))
         record = self._membership.record
         if self._membership.is_leader():
-            return self._answer_as_leader(heartbeat, arrived_at, sent_after, may_hold)
+            return self._answer_as_leader(heartbeat, arrived_at, sent_after, keeps_connection)
         if not record.leader or not self._membership.is_live(record.leader, record.incarnation):
             return Reply(503, jobs.encode_error("no leader yet"))
         redirect_to = self._redirect_target(heartbeat, record)
         if redirect_to is not None:
             return Reply(421, workers.encode_redirect(redirect_to))
-        return self._answer_as_relay(heartbeat, sent_after)
+        return self._answer_as_relay(heartbeat, may_start(sent_after, keeps_connection))
 
     def _knows_newest_leader(self, heartbeat: workers.Heartbeat) -> bool:
         """Returns whether this controller knows the worker's fencing token or a higher one.
@@ -156,7 +158,7 @@
         return None
 
     def _answer_as_leader(
-        self, heartbeat: workers.Heartbeat, arrived_at: float, sent_after: float, may_hold: bool
+        self, heartbeat: workers.Heartbeat, arrived_at: float, sent_after: float, keeps_connection: bool
     ) -> Reply:
         scheduler = self._scheduler
         record = self._membership.record
@@ -171,7 +173,9 @@
         self._signals.round.set()
         if scheduler.has_pending_writes():
             self._signals.commit.set()
-        commands = self._await_commands(index, event, arrived_at, may_hold, may_start(sent_after))
+        hold_s = scheduler.hold_s(index) if keeps_connection else 0.0
+        with_starts = may_start(sent_after, keeps_connection)
+        commands = self._await_commands(index, event, arrived_at, hold_s, with_starts)
         if (
             self._membership.record.version != record.version
             or scheduler.term != record.version
@@ -190,16 +194,15 @@
         return scheduler.complete and scheduler.term == record.version
 
     def _await_commands(
-        self, index: int, event: threading.Event, arrived_at: float, may_hold: bool, may_start: bool
+        self, index: int, event: threading.Event, arrived_at: float, hold_s: float, with_starts: bool
     ) -> list[workers.Command]:
         """Returns the commands for a machine as soon as there are any, or without any after the hold time.
 
         Starts are held back until a read that was sent after the heartbeat arrived has verified leadership.
         """
-        hold_s = self._scheduler.hold_s(index) if may_hold else 0.0
         while True:
             event.clear()
-            commands, read_needed = self._scheduler.commands_for(index, arrived_at, may_start)
+            commands, read_needed = self._scheduler.commands_for(index, arrived_at, with_starts)
             waited_s = self._clock() - arrived_at
             if read_needed:
                 if waited_s >= VERIFICATION_WAIT_S + hold_s:
@@ -212,13 +215,13 @@
             else:
                 self._pause(event, hold_s - waited_s)
 
-    def _answer_as_relay(self, heartbeat: workers.Heartbeat, sent_after: float) -> Reply:
+    def _answer_as_relay(self, heartbeat: workers.Heartbeat, with_starts: bool) -> Reply:
         self._relay.store_heartbeat(heartbeat)
         is_refreshed = self._watch_cache.refresh(RELAY_READ_TIMEOUT_S)
         # The token is read before the commands, so that they are never sent with the token of a later leader.
         fencing_token = self._membership.record.fencing_token
         if is_refreshed:
-            commands = self._relay.commands(heartbeat, may_start(sent_after))
+            commands = self._relay.commands(heartbeat, with_starts)
             return Reply(200, workers.encode_response(fencing_token, commands))
         # The key-value store is unavailable or refuses this controller. If the fencing token known here is
         # outdated, a worker that has seen a higher one drops this response. A stale view is not sufficient to
--- a/bayford/coordination/workers/relay.py
+++ b/bayford/coordination/workers/relay.py
@@ -197,11 +197,11 @@
                 self._changed = True
             self._heartbeats[heartbeat.machine] = _ReceivedHeartbeat(self._clock(), heartbeat)
 
-    def commands(self, heartbeat: workers.Heartbeat, may_start: bool) -> list[workers.Command]:
+    def commands(self, heartbeat: workers.Heartbeat, with_starts: bool) -> list[workers.Command]:
         """Returns the commands for this machine that follow from the task log.
 
-        The watch cache must have been refreshed after the heartbeat arrived. `may_start`: whether starts may
-        be among them.
+        The watch cache must have been refreshed after the heartbeat arrived. `with_starts`: whether starts
+        may be among them.
         """
         reported = {(task.task_id, task.attempt): task for task in heartbeat.tasks}
         stops: list[workers.Command] = []
@@ -213,7 +213,7 @@
             key = (workers.format_task_id(placement.job, placement.task), placement.attempt)
             placed.add(key)
             if not placement.cancelled and key not in reported:
-                if may_start:
+                if with_starts:
                     starts.append(workers.Start(*key))
             elif placement.cancelled and key in reported and reported[key].phase != workers.ENDED:
                 stops.append(workers.Stop(*key, 0.0))
--- a/tests/fakes/cluster.py
+++ b/tests/fakes/cluster.py
@@ -123,6 +123,7 @@
         self.mesh_cuts: set[str] = set()  # controllers without a connection to any other controller
         self.sent_heartbeats: list[workers.Heartbeat] = []  # the most recent ones, for `replay`
         self.late_copies: LateCopies | None = None  # delivers copies of messages, if a test sets it
+        self.closes_connections = False  # controllers close the connection of a worker after each response
         self.nodes: dict[str, Controller] = {}
         self.names = [f"n{n}" for n in range(nodes)]
         for name in self.names:
@@ -317,7 +318,9 @@
         self.sent_heartbeats = [*self.sent_heartbeats[-200:], heartbeat]
         if self.late_copies is not None:
             self.late_copies.add_heartbeat(heartbeat)
-        reply = self.nodes[node].heartbeat(encoded_copy(heartbeat), after)
+        if self.closes_connections:
+            after = NEVER
+        reply = self.nodes[node].heartbeat(encoded_copy(heartbeat), after, not self.closes_connections)
         assert len(reply.body) <= MAX_MESSAGE_BYTES, f"a response to a worker of {len(reply.body)} bytes"
         if worker.name not in self.workers or worker.unresponsive:
             return 0
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -151,6 +151,23 @@
     assert cluster.cloud.deleted == [worker.name]
 
 
+# Guards against machines that never get a start, because there are more of them than connections are allowed,
+# so that each connection is closed after its first response.
+@pytest.mark.parametrize("is_relayed", [False, True], ids=["leader", "relay"])
+def test_a_machine_whose_connection_is_closed_after_each_response_gets_starts(is_relayed: bool) -> None:
+    cluster = Cluster(3)
+    cluster.closes_connections = True
+    for _ in range(3):
+        cluster.machine()
+    run_for(cluster, 4.0)
+    if is_relayed:
+        cluster.network_cuts.add((cluster.first_worker().name, cluster.require_leader()))
+        run_for(cluster, 6.0, cloud=False)
+    cluster.submit("n0", cluster.job(1, parts=12, crew="blue", guess_s=LONG_RUN_S))
+    run_for(cluster, 8.0, cloud=False)
+    assert len(running_tasks(cluster)) == 12
+
+
 # Guards against starts in the response to a copy of a heartbeat, one for each time that it came.
 @pytest.mark.parametrize("is_new_leader", [False, True], ids=["same leader", "new leader"])
 def test_the_response_to_a_copy_of_a_heartbeat_holds_no_start(is_new_leader: bool) -> None:
