Let work that waits for spot machines use on-demand machines after a minute

Cause: work that spot machines finish in time is kept off on-demand ones, by the backlog of the fleet and without an end. Evidence: test_a_job_that_waits_for_full_spot_machines_starts_on_an_on_demand_machine_in_time fails on the sources before. Fix: the condition ends 60 s after a task of the job was placed, or after its acceptance.

--- a/bayford/coordination/leader/task_placer.py
+++ b/bayford/coordination/leader/task_placer.py
@@ -16,6 +16,9 @@
 log = logging.getLogger(__name__)
 
 NO_ROOM = "no room on an allowed machine"
+SPOT_ONLY_S = (
+    60.0  # since a task of the job was placed; work that may use spot machines then takes any machine
+)
 
 MachineFilter = Callable[[Machine], bool]
 
@@ -51,13 +54,7 @@
             job.waiting_reason = "zone of a running task unknown"
             return
         zone_counts = placement_rules.placements_by_zone(job, self._state.zone_of) if by_zone else {}
-        # Keep work that spot machines finish in time off on-demand ones, so that these idle and are deleted.
-        spot_only = (
-            not self._state.on_demand_needed
-            and job.spec.priority < URGENT
-            and job.spec.spot
-            and job.has_spot_machines
-        )
+        spot_only = self._keeps_to_spot(job, now)
 
         def suitability(machine: Machine) -> Suitability:
             found = placement_rules.suitability(job, machine, zone_counts, now)
@@ -92,6 +89,19 @@
                 candidates.last_resorts.append(machine)
         return candidates
 
+    def _keeps_to_spot(self, job: Job, now: float) -> bool:
+        """Return whether the job's tasks are kept off on-demand machines, so that these idle and are deleted.
+
+        That applies to work that spot machines finish in time, while tasks of the job are placed there.
+        """
+        return (
+            not self._state.on_demand_needed
+            and job.spec.priority < URGENT
+            and job.spec.spot
+            and job.has_spot_machines
+            and now - max(job.placed_at, job.created) <= SPOT_ONLY_S
+        )
+
     def _is_offered(self, job: Job, machine: Machine, spot_only: bool, returning: bool) -> bool:
         """Return whether the machine's kind and the state of its zone allow a task of the job there."""
         if spot_only and not machine.spot and machine.index not in self._state.service_machines:
--- a/tests/test_waiting_after_failures.py
+++ b/tests/test_waiting_after_failures.py
@@ -251,3 +251,20 @@
     for machine in range(20):
         failed.record(machine, 0.0, 40.0 + machine)
     assert len(failed) == MAX_REMEMBERED_MACHINES and set(failed) == set(range(12, 20)), "the latest failures"
+
+
+# Guards against a job that is kept off on-demand machines for as long as its spot machines are full.
+def test_a_job_that_waits_for_full_spot_machines_starts_on_an_on_demand_machine_in_time() -> None:
+    cluster = started_cluster(machines=2)
+    cluster.cloud.capacity = 0
+    cluster.submit("n0", cluster.job(1, parts=8, guess_s=LONG_RUN_S))
+    run_for(cluster, 4.0)
+    on_demand = cluster.machine(spot=False)
+    cluster.submit("n0", cluster.job(2, parts=1, crew="blue", loaners=False, guess_s=LONG_RUN_S))
+    run_for(cluster, 4.0)
+    assert on_demand.running() == ["req-000002/0"]
+    cluster.submit("n0", cluster.job(3, parts=1, crew="blue", guess_s=20.0))
+    run_for(cluster, 20.0)
+    assert "req-000003/0" not in running_tasks(cluster), "spot machines are awaited first"
+    seconds_until_running(cluster, 10)
+    assert "req-000003/0" in on_demand.running()
