--- a/bayford/coordination/controller.py
+++ b/bayford/coordination/controller.py
@@ -365,11 +365,9 @@
 
     # -- workers ---------------------------------------------------------------------------------------
 
-    def heartbeat(
-        self, heartbeat: workers.Heartbeat, sent_after: float, keeps_connection: bool = True
-    ) -> Reply:
+    def heartbeat(self, heartbeat: workers.Heartbeat, sent_after: float, keep_alive: bool = True) -> Reply:
         """Answer a worker's heartbeat; see `HeartbeatService.answer`."""
-        return self.heartbeats.answer(heartbeat, sent_after, keeps_connection)
+        return self.heartbeats.answer(heartbeat, sent_after, keep_alive)
 
     # -- users -----------------------------------------------------------------------------------------
 
--- a/bayford/coordination/leader/heartbeat_handler.py
+++ b/bayford/coordination/leader/heartbeat_handler.py
@@ -35,8 +35,7 @@
         """Apply a heartbeat and return the index of its machine, or None if the response holds no commands.
 
         It holds none if this controller is not the leader, the machine is deleted, the epoch is an earlier
-        one, or a newer heartbeat has arrived: a worker has one heartbeat in flight, so it does not wait for
-        the response to a late copy.
+        one, or a newer heartbeat has arrived: a worker does not wait for the response to a late copy.
 
         `sent_after`: lower bound (steady clock) of the sending time: when the previous heartbeat on the
         connection was answered. Heartbeats may arrive minutes late; nothing else bounds their age.
@@ -48,12 +47,8 @@
                 return None
             now = state.clock()
             machine = state.get_or_add_machine(heartbeat.machine, now)
-            if not is_command_response:
-                if heartbeat.order <= machine.heartbeat_order:
-                    if sent_after > machine.last_heartbeat_at:
-                        self._health.on_worker_began_anew(machine)
-                    return None
-                machine.heartbeat_order = heartbeat.order
+            if not is_command_response and not self._is_newest(machine, heartbeat, sent_after):
+                return None
             if heartbeat.order <= machine.last_order and machine.registered:
                 # The response to a direct command came first. Nothing new, but the worker waits.
                 return machine.index if heartbeat.epoch == machine.epoch else None
@@ -71,6 +66,18 @@
                 machine.idle_since = now
             return machine.index
 
+    def _is_newest(self, machine: Machine, heartbeat: workers.Heartbeat, sent_after: float) -> bool:
+        """Return whether this is the machine's newest heartbeat so far, and if so, record its order.
+
+        One that is not, though it was sent after the newest one arrived, comes from a worker that began anew.
+        """
+        if heartbeat.order > machine.heartbeat_order:
+            machine.heartbeat_order = heartbeat.order
+            return True
+        if sent_after > machine.last_heartbeat_at:
+            self._health.on_worker_began_anew(machine)
+        return False
+
     def _reconcile_tasks(self, machine: Machine, tasks: list[workers.TaskState], now: float) -> None:
         """Apply the states of all tasks that the machine lists, and what room they leave in its heartbeat."""
         unplaced_bytes = 0
--- a/bayford/coordination/workers/heartbeat_service.py
+++ b/bayford/coordination/workers/heartbeat_service.py
@@ -28,7 +28,7 @@
 MAX_FIRST_SEQUENCE = 2  # highest sequence number that the first heartbeats of a worker may have
 
 
-def may_start(sent_after: float, keeps_connection: bool) -> bool:
+def may_start(sent_after: float, keep_alive: bool) -> bool:
     """Returns whether the response to a heartbeat may contain starts.
 
     The heartbeat must have come on a connection on which this controller has answered before. A late copy
@@ -36,7 +36,7 @@
     A controller that closes each connection after one response can't tell; there, only the order of the
     machine's heartbeats keeps copies out. A start in the response to a copy is executed by nobody.
     """
-    return sent_after > NEVER or not keeps_connection
+    return sent_after > NEVER or not keep_alive
 
 
 class HeartbeatService(LeaderListener):
@@ -97,11 +97,11 @@
 
     # -- heartbeats ------------------------------------------------------------------------------------
 
-    def answer(self, heartbeat: workers.Heartbeat, sent_after: float, keeps_connection: bool = True) -> Reply:
+    def answer(self, heartbeat: workers.Heartbeat, sent_after: float, keep_alive: bool = True) -> Reply:
         """Answer a worker's heartbeat.
 
         `sent_after`: time of the steady clock at or after which the worker certainly sent it.
-        `keeps_connection`: whether the connection stays open after the response. If it does, the response may
+        `keep_alive`: whether the connection stays open after the response. If it does, the response may
         be held back until there are commands to put into it, for the time that the policy allows.
         """
         arrived_at = self._clock()
@@ -114,13 +114,13 @@
             return Reply(503, jobs.encode_error("a newer leadership record exists"))
         record = self._membership.record
         if self._membership.is_leader():
-            return self._answer_as_leader(heartbeat, arrived_at, sent_after, keeps_connection)
+            return self._answer_as_leader(heartbeat, arrived_at, sent_after, keep_alive)
         if not record.leader or not self._membership.is_live(record.leader, record.incarnation):
             return Reply(503, jobs.encode_error("no leader yet"))
         redirect_to = self._redirect_target(heartbeat, record)
         if redirect_to is not None:
             return Reply(421, workers.encode_redirect(redirect_to))
-        return self._answer_as_relay(heartbeat, may_start(sent_after, keeps_connection))
+        return self._answer_as_relay(heartbeat, may_start(sent_after, keep_alive))
 
     def _knows_newest_leader(self, heartbeat: workers.Heartbeat) -> bool:
         """Returns whether this controller knows the worker's fencing token or a higher one.
@@ -158,7 +158,7 @@
         return None
 
     def _answer_as_leader(
-        self, heartbeat: workers.Heartbeat, arrived_at: float, sent_after: float, keeps_connection: bool
+        self, heartbeat: workers.Heartbeat, arrived_at: float, sent_after: float, keep_alive: bool
     ) -> Reply:
         scheduler = self._scheduler
         record = self._membership.record
@@ -173,8 +173,8 @@
         self._signals.round.set()
         if scheduler.has_pending_writes():
             self._signals.commit.set()
-        hold_s = scheduler.hold_s(index) if keeps_connection else 0.0
-        with_starts = may_start(sent_after, keeps_connection)
+        hold_s = scheduler.hold_s(index) if keep_alive else 0.0
+        with_starts = may_start(sent_after, keep_alive)
         commands = self._await_commands(index, event, arrived_at, hold_s, with_starts)
         if (
             self._membership.record.version != record.version
--- a/bayford/transport/http_handlers.py
+++ b/bayford/transport/http_handlers.py
@@ -59,7 +59,7 @@
         except jobs.InvalidError as error:
             return Response(400, jobs.encode_error(str(error)))
         reply = self._controller.heartbeat(
-            heartbeat, request.sent_after, keeps_connection=not request.is_near_connection_limit
+            heartbeat, request.sent_after, keep_alive=not request.is_near_connection_limit
         )
         # If there are more machines than allowed connections, each is answered at once and its connection
         # closed. Otherwise the last ones to connect would be refused until a lease has expired.
