--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -52,7 +52,7 @@
     assert limit.limit > slow
 
 
-def test_the_server_refuses_malformed_requests_and_keep_alives() -> None:
+def test_the_server_refuses_malformed_requests_and_keeps_connections() -> None:
     def handle(request: Request) -> Response:
         return Response(200, request.body or request.path.encode())
 
